--- a/internal/admit/limit/limit.go
+++ b/internal/admit/limit/limit.go
@@ -114,6 +114,12 @@
 	}
 }
 
+// Warm sets the limit for a target that is past its cold start.
+func (l *Limiter) Warm(slots int) {
+	l.slots = max(slots, 1)
+	l.limit = float64(l.slots)
+}
+
 // Resize adapts to a changed announcement of a target that goes on running.
 func (l *Limiter) Resize(slots int) {
 	l.slots = max(slots, 1)
@@ -153,13 +159,7 @@
 		l.start(now, t)
 		return Started, nil
 	}
-	ahead := 0
-	for _, q := range l.queue {
-		if q.before(t) {
-			ahead++
-		}
-	}
-	if now.Add(l.estimate(ahead)) > t.Deadline {
+	if now.Add(l.estimate(l.ahead(t))) > t.Deadline {
 		return Refused, nil
 	}
 	l.insert(t)
@@ -174,6 +174,25 @@
 	return Queued, last
 }
 
+// ahead counts the waiting requests that start before t.
+func (l *Limiter) ahead(t *Ticket) int {
+	n := 0
+	for _, q := range l.queue {
+		if q.before(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// Wait estimates how long a request would wait before it starts.
+func (l *Limiter) Wait(t *Ticket) time.Duration {
+	if l.fits(t) && len(l.queue) == 0 {
+		return 0
+	}
+	return time.Duration(float64(l.ahead(t)+1) / l.limit * float64(l.service))
+}
+
 func (l *Limiter) bound() int {
 	return max(minQueue, int(l.limit)*queueFactor)
 }
--- /dev/null
+++ b/internal/conf/rules/rules_test.go
@@ -0,0 +1,71 @@
+package rules
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func sample() *Rules {
+	route := func(host, prefix string) Route {
+		return Route{
+			Name:   host + prefix,
+			Host:   host,
+			Prefix: prefix,
+		}
+	}
+	return New(Content{
+		Version: 7,
+		Routes: []Route{
+			route("a.example", "/x/"),
+			route("a.example", "/x/y/"),
+			route("b.example", "/"),
+		},
+		Keyrings: []Keyring{
+			{
+				Workspace: Workspace{Name: "w"},
+				Keys:      []Digest{DigestOf("secret")},
+			},
+		},
+	})
+}
+
+func TestMatch(t *testing.T) {
+	Convey("The longest prefix of the host's routes wins", t, func() {
+		r := sample()
+		for path, want := range map[string]string{
+			"/x/1":       "a.example/x/",
+			"/x/y/1":     "a.example/x/y/",
+			"/x/yy/1":    "a.example/x/",
+			"/x/y":       "a.example/x/",
+			"/x/?q=/y/":  "a.example/x/",
+			"/x/y/?q=/z": "a.example/x/y/",
+		} {
+			route, ok := r.Match("A.example:8080", path)
+			So(ok, ShouldBeTrue)
+			So(route.Name, ShouldEqual, want)
+		}
+	})
+	Convey("Other hosts and paths have no route", t, func() {
+		r := sample()
+		for host, path := range map[string]string{"a.example": "/z/1", "c.example": "/x/1", "": "/x/"} {
+			_, ok := r.Match(host, path)
+			So(ok, ShouldBeFalse)
+		}
+		_, ok := r.Match("b.example", "*")
+		So(ok, ShouldBeFalse)
+	})
+}
+
+func TestKeys(t *testing.T) {
+	Convey("A key names its workspace; others name none", t, func() {
+		r := sample()
+		w, ok := r.ByKey("secret")
+		So(ok, ShouldBeTrue)
+		So(w.Name, ShouldEqual, "w")
+		_, ok = r.ByKey("Secret")
+		So(ok, ShouldBeFalse)
+		_, ok = r.ByKey("")
+		So(ok, ShouldBeFalse)
+	})
+}
--- /dev/null
+++ b/internal/mesh/peers/view.go
@@ -0,0 +1,109 @@
+package peers
+
+import (
+	"fuchsiapier/internal/mesh/rank"
+)
+
+// View is an immutable picture of the live nodes.
+type View struct {
+	self     Node
+	byTarget map[string][]Node
+	nodes    []Node
+	domain   int
+	attached int
+	keeper   string
+	keepers  []string
+}
+
+// View returns the current picture.
+func (p *Peers) View() *View {
+	return p.view.Load()
+}
+
+// publish must be called with p.mu held, or before the value is shared.
+func (p *Peers) publish() {
+	v := &View{
+		self:     p.self,
+		byTarget: map[string][]Node{},
+		domain:   1,
+		attached: 1,
+		keeper:   p.keeper(),
+	}
+	v.add(p.self)
+	names := map[string][]string{}
+	for name, k := range p.others {
+		own := k.node.Domain == p.self.Domain
+		if own {
+			v.domain++
+		}
+		if !k.alive {
+			continue
+		}
+		v.add(k.node)
+		switch {
+		case !own:
+			names[k.node.Domain] = append(names[k.node.Domain], name)
+		case k.node.Keeper == p.self.Name:
+			v.attached++
+		}
+	}
+	for domain, list := range names {
+		v.keepers = append(v.keepers, rank.Best(domain, list))
+	}
+	p.view.Store(v)
+}
+
+func (v *View) add(n Node) {
+	v.nodes = append(v.nodes, n)
+	if n.Service != "" && n.Open && !n.Leaving {
+		v.byTarget[n.Service] = append(v.byTarget[n.Service], n)
+	}
+}
+
+// Nodes returns the live nodes, this one first; callers must not change it.
+func (v *View) Nodes() []Node {
+	return v.nodes
+}
+
+// Targets returns the nodes that take calls for a service.
+func (v *View) Targets(service string) []Node {
+	return v.byTarget[service]
+}
+
+// Keeper names the node that keeps the tokens of the own domain.
+func (p *Peers) Keeper() string {
+	return p.View().keeper
+}
+
+// Keepers names the keepers of the other domains.
+func (p *Peers) Keepers() []string {
+	return p.View().keepers
+}
+
+// Share is the part of the domain's nodes that are attached to this one.
+func (p *Peers) Share() float64 {
+	v := p.View()
+	return float64(v.attached) / float64(max(v.domain, v.attached))
+}
+
+// Alone is the part of the domain's nodes that one node is.
+func (p *Peers) Alone() float64 {
+	return 1 / float64(p.View().domain)
+}
+
+// Readers returns the live nodes of the own domain that may watch the store, the
+// first choice first: those that reach it go before the others.
+func (v *View) Readers() []string {
+	var with, without []Node
+	for _, n := range v.nodes {
+		switch {
+		case n.Domain != v.self.Domain || n.Leaving:
+		case n.Store:
+			with = append(with, n)
+		default:
+			without = append(without, n)
+		}
+	}
+	order := rank.Order(v.self.Domain, sortedNames(with))
+	return append(order, rank.Order(v.self.Domain, sortedNames(without))...)
+}
--- /dev/null
+++ b/internal/node/entry/dispatch.go
@@ -0,0 +1,287 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"fuchsiapier/internal/mesh/peers"
+	"fuchsiapier/internal/node/call"
+	"fuchsiapier/internal/pipe/msg"
+)
+
+const (
+	// patiencePart is the part of a route's objective that a request waits for a
+	// slot before another node is tried.
+	patiencePart = 4
+	// defaultPatience holds for routes without an objective.
+	defaultPatience = 100 * time.Millisecond
+	// maxRefusals bounds how many gates may refuse a request before it is given up.
+	maxRefusals = 5
+	// hedgeFactor is how many times its mean a node may take before a request that
+	// may be repeated goes to a second one.
+	hedgeFactor = 4
+	// minHedge is the least time before a second send.
+	minHedge = 150 * time.Millisecond
+	// answerGrace is how long after the deadline a gate's last word is awaited, so
+	// that a request that has not run can be said not to have.
+	answerGrace = 100 * time.Millisecond
+	// finalReserve is the least time left in which another node is tried.
+	finalReserve = 20 * time.Millisecond
+)
+
+// attempt is one send of a request to one node.
+type attempt struct {
+	node   peers.Node
+	result call.Result
+	hedged bool
+}
+
+// dispatch sends a request until it is answered or given up. Refusals of gates
+// are free: nothing reached a target. Sends that reached one are bounded by the
+// route and by the budget of the service.
+func (e *Entry) dispatch(ctx context.Context, q *request) (*msg.Response, call.Reason) {
+	d := &dispatcher{
+		entry:   e,
+		request: q,
+		asked:   map[string]bool{},
+		results: make(chan attempt, maxRefusals+q.route.Attempts+2),
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	return d.run(ctx)
+}
+
+// dispatcher is the state of one request's sends.
+type dispatcher struct {
+	entry   *Entry
+	request *request
+	// asked has the nodes that are not asked again.
+	asked    map[string]bool
+	refusals int
+	// patient says that the last round is on, in which the request waits as long
+	// as its deadline allows.
+	patient bool
+	flying  int
+	// reached counts sends that may have reached a target.
+	reached int
+	results chan attempt
+	// soonest is the least time after which a gate expects room.
+	soonest time.Duration
+	last    call.Reason
+	// failure is a target's own failure, handed on if nothing better comes.
+	failure *msg.Response
+}
+
+func (d *dispatcher) run(ctx context.Context) (*msg.Response, call.Reason) {
+	q := d.request
+	if !d.launch(ctx) {
+		return d.giveUp()
+	}
+	deadline := time.NewTimer(time.Until(q.call.Deadline) + answerGrace)
+	defer deadline.Stop()
+	hedge := d.hedgeTimer()
+	defer hedge.Stop()
+	for {
+		select {
+		case a := <-d.results:
+			d.flying--
+			resp, done := d.judge(a)
+			if done {
+				return resp, ""
+			}
+			if d.flying > 0 {
+				continue
+			}
+			if !d.mayGoOn() || !d.launch(ctx) {
+				return d.giveUp()
+			}
+			hedge.Reset(d.hedgeAfter())
+		case <-hedge.C:
+			if d.flying == 1 && d.mayRepeat() {
+				d.launch(ctx)
+			}
+		case <-deadline.C:
+			d.last = call.Timeout
+			return d.giveUp()
+		case <-ctx.Done():
+			return nil, call.Stopped
+		}
+	}
+}
+
+func (d *dispatcher) hedgeTimer() *time.Timer {
+	return time.NewTimer(d.hedgeAfter())
+}
+
+// hedgeAfter is how long the present send may stay without an answer.
+func (d *dispatcher) hedgeAfter() time.Duration {
+	q := d.request
+	if !q.route.Idempotent || len(q.tried) == 0 {
+		return time.Hour
+	}
+	name := q.tried[len(q.tried)-1]
+	for _, n := range d.entry.fleet.View().Targets(q.service) {
+		if n.Name == name {
+			return max(minHedge, q.route.Objective/2, hedgeFactor*d.entry.picker.mean(&n))
+		}
+	}
+	return max(minHedge, q.route.Objective/2)
+}
+
+// mayGoOn decides whether another node is asked after what came back so far.
+func (d *dispatcher) mayGoOn() bool {
+	if time.Until(d.request.call.Deadline) < finalReserve {
+		return false
+	}
+	if d.reached == 0 {
+		return true
+	}
+	return d.mayRepeat()
+}
+
+// mayRepeat takes one send beyond the first from the budget of the service.
+func (d *dispatcher) mayRepeat() bool {
+	q := d.request
+	if d.reached+d.flying >= q.route.Attempts || time.Until(q.call.Deadline) < finalReserve {
+		return false
+	}
+	return d.entry.repeats.Spend(q.service)
+}
+
+// launch sends to the best node left; a request that every node found too busy
+// goes once more to the best of them and waits there.
+func (d *dispatcher) launch(ctx context.Context) bool {
+	e, q := d.entry, d.request
+	nodes := e.fleet.View().Targets(q.service)
+	skip := func(name string) bool { return d.asked[name] }
+	node, ok := e.picker.best(time.Now(), nodes, skip)
+	if !ok || d.refusals >= maxRefusals {
+		if d.patient || d.refusals == 0 || d.reached > 0 {
+			return false
+		}
+		d.patient = true
+		node, ok = e.picker.best(time.Now(), nodes, func(name string) bool { return d.unusable(name) })
+		if !ok {
+			return false
+		}
+	}
+	d.asked[node.Name] = true
+	d.flying++
+	q.tried = append(q.tried, node.Name)
+	c := *q.call
+	c.Patience = d.patience()
+	e.picker.begin(&node)
+	began := time.Now()
+	go func() {
+		result := e.send(ctx, node, &c)
+		e.picker.end(time.Now(), &node, judgeNode(result), time.Since(began), result.Wait)
+		d.results <- attempt{
+			node:   node,
+			result: result,
+		}
+	}()
+	return true
+}
+
+// unusable nodes are not asked even in the last round; busy ones are.
+func (d *dispatcher) unusable(name string) bool {
+	return d.request.gone[name]
+}
+
+func (d *dispatcher) patience() time.Duration {
+	if d.patient {
+		return time.Until(d.request.call.Deadline)
+	}
+	if d.request.route.Objective > 0 {
+		return d.request.route.Objective / patiencePart
+	}
+	return defaultPatience
+}
+
+func (e *Entry) send(ctx context.Context, node peers.Node, c *call.Call) call.Result {
+	if node.Name == e.picker.self {
+		return e.gate.Serve(ctx, c)
+	}
+	return e.remote.Send(ctx, node, c)
+}
+
+// judgeNode is what a result says of the node.
+func judgeNode(r call.Result) verdict {
+	switch {
+	case r.Outcome == call.Answered && r.Answer.Status < fasthttp.StatusInternalServerError:
+		return answered
+	case r.Outcome == call.Answered, r.Outcome == call.Unknown:
+		return failed
+	case r.Reason == call.Unreachable:
+		return unreachable
+	}
+	return neutral
+}
+
+// judge takes a result and returns the answer to the caller if it is final.
+func (d *dispatcher) judge(a attempt) (resp *msg.Response, done bool) {
+	q := d.request
+	r := a.result
+	if r.Reached {
+		d.reached++
+		q.sends++
+	}
+	switch r.Outcome {
+	case call.Answered:
+		return d.judgeAnswer(r)
+	case call.NotRun:
+		d.refusals++
+		d.last = r.Reason
+		if r.Reason != call.Busy {
+			q.lose(a.node.Name)
+		}
+		if r.RetryAfter > 0 && (d.soonest == 0 || r.RetryAfter < d.soonest) {
+			d.soonest = r.RetryAfter
+		}
+	case call.Unknown:
+		d.last = r.Reason
+		q.ran = true
+		q.lose(a.node.Name)
+	case call.Gone:
+		d.last = r.Reason
+	}
+	return nil, false
+}
+
+// judgeAnswer hands a target's answer on; a failure of one that may be repeated
+// is kept while another is tried.
+func (d *dispatcher) judgeAnswer(r call.Result) (*msg.Response, bool) {
+	q := d.request
+	q.ran = true
+	if r.Answer.Status < fasthttp.StatusInternalServerError || !q.route.Idempotent {
+		return r.Answer, true
+	}
+	d.failure = r.Answer
+	return nil, false
+}
+
+// giveUp answers a request that no target answered well: at once, and truthfully
+// as to whether it may have run.
+func (d *dispatcher) giveUp() (*msg.Response, call.Reason) {
+	q := d.request
+	switch {
+	case d.failure != nil:
+		return d.failure, ""
+	case q.ran || d.mayRunYet():
+		if d.last == call.Timeout {
+			return msg.Plain(fasthttp.StatusGatewayTimeout, "no answer in time"), d.last
+		}
+		return msg.Plain(fasthttp.StatusBadGateway, "no answer from the target"), d.last
+	}
+	if d.last == "" {
+		d.last = call.NoTarget
+	}
+	return d.entry.refusal(fasthttp.StatusServiceUnavailable, q, d.soonest, "not run: "+string(d.last)), d.last
+}
+
+// mayRunYet reports whether a send is out whose outcome is not known.
+func (d *dispatcher) mayRunYet() bool {
+	return d.flying > 0
+}
--- /dev/null
+++ b/internal/node/entry/picker.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"fuchsiapier/internal/mesh/peers"
+)
+
+const (
+	// domainCost and regionCost are added to the expected time at a node of another
+	// failure domain or region: the way there and back, and the price of its bytes.
+	domainCost = 30 * time.Millisecond
+	regionCost = 140 * time.Millisecond
+	// smoothing is the weight of a new answer in a node's running mean.
+	smoothing = 0.2
+	// loadLife is how long what a node said of its wait counts.
+	loadLife = 700 * time.Millisecond
+	// failTime is how long a node that could not be reached is a last choice.
+	failTime = 1 * time.Second
+	// failCost is added for each recent failure to answer.
+	failCost = 150 * time.Millisecond
+	// failLife is the time constant in which failures are forgotten.
+	failLife = 2 * time.Second
+)
+
+// standing is what an entry has seen of a node's target.
+type standing struct {
+	// mean is the running mean of the time to an answer.
+	mean     time.Duration
+	inflight int
+	wait     time.Duration
+	waitAt   time.Time
+	failures float64
+	failedAt time.Time
+	deadTill time.Time
+}
+
+// picker ranks the nodes that take calls for a service by the time that a call
+// is expected to take there.
+type picker struct {
+	self   string
+	domain string
+	region string
+	mu     sync.Mutex
+	// nodes is keyed by node and service, since a VM may get another target.
+	nodes map[string]*standing
+}
+
+func newPicker(self, domain, region string) *picker {
+	return &picker{
+		self:   self,
+		domain: domain,
+		region: region,
+		nodes:  map[string]*standing{},
+	}
+}
+
+func (p *picker) standing(n *peers.Node) *standing {
+	key := n.Name + "/" + n.TargetID
+	s, ok := p.nodes[key]
+	if !ok {
+		s = &standing{}
+		p.nodes[key] = s
+		p.trim()
+	}
+	return s
+}
+
+// maxStandings bounds the remembered targets, of which most are gone.
+const maxStandings = 4096
+
+// trim must be called with p.mu held.
+func (p *picker) trim() {
+	if len(p.nodes) <= maxStandings {
+		return
+	}
+	for key, s := range p.nodes {
+		if s.inflight == 0 {
+			delete(p.nodes, key)
+		}
+	}
+}
+
+// best returns the node with the least expected time that skip lets through,
+// and false where there is none.
+func (p *picker) best(now time.Time, nodes []peers.Node, skip func(name string) bool) (peers.Node, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best := -1
+	least := time.Duration(0)
+	for i := range nodes {
+		if skip(nodes[i].Name) {
+			continue
+		}
+		cost := p.cost(now, &nodes[i])
+		if best < 0 || cost < least {
+			best, least = i, cost
+		}
+	}
+	if best < 0 {
+		return peers.Node{}, false
+	}
+	return nodes[best], true
+}
+
+// cost must be called with p.mu held.
+func (p *picker) cost(now time.Time, n *peers.Node) time.Duration {
+	s := p.standing(n)
+	wait := time.Duration(n.WaitMillis) * time.Millisecond
+	if now.Sub(s.waitAt) < loadLife {
+		wait = s.wait
+	}
+	cost := s.mean + wait
+	if n.Slots > 0 {
+		cost += s.mean * time.Duration(s.inflight) / time.Duration(n.Slots)
+	}
+	switch {
+	case n.Region != p.region:
+		cost += regionCost
+	case n.Domain != p.domain:
+		cost += domainCost
+	}
+	if s.failures > 0 {
+		fresh := s.failures * decay(now.Sub(s.failedAt))
+		cost += time.Duration(fresh * float64(failCost))
+	}
+	if now.Before(s.deadTill) {
+		cost += time.Minute
+	}
+	return cost
+}
+
+// decay is the part of a failure that still counts after d.
+func decay(d time.Duration) float64 {
+	return max(0, 1-d.Seconds()/failLife.Seconds())
+}
+
+func (p *picker) begin(n *peers.Node) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.standing(n).inflight++
+}
+
+// verdict is what a call says of the node that it went to.
+type verdict int
+
+const (
+	neutral verdict = iota
+	answered
+	failed
+	unreachable
+)
+
+// end notes how a call at a node ended.
+func (p *picker) end(now time.Time, n *peers.Node, v verdict, took, wait time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.standing(n)
+	s.inflight--
+	switch v {
+	case answered:
+		if s.mean == 0 {
+			s.mean = took
+		}
+		s.mean += time.Duration(smoothing * float64(took-s.mean))
+	case failed:
+		s.failures = s.failures*decay(now.Sub(s.failedAt)) + 1
+		s.failedAt = now
+	case unreachable:
+		s.deadTill = now.Add(failTime)
+	}
+	if v != unreachable {
+		s.wait = wait
+		s.waitAt = now
+	}
+}
+
+// mean returns the running mean of the time to an answer from a node.
+func (p *picker) mean(n *peers.Node) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.standing(n).mean
+}
