A request that may run once only is sent once; own failure domain first

Apart from it, nodes of other domains were chosen for 30 ms of expected gain, though their bytes cost more than a late answer. Ruled out: repeats by the gate (each call is handed over once). Change: mayGoOn asks for the kind once a target may have run the request; another domain must be faster by half of the route's objective. Next: bytes between domains in trouble, and nodes that do not answer.

--- a/internal/mesh/peers/view.go
+++ b/internal/mesh/peers/view.go
@@ -20,16 +20,26 @@
 	return p.view.Load()
 }
 
-// publish must be called with p.mu held, or before the value is shared.
-func (p *Peers) publish() {
+// NewView returns the picture of a node that sees the given others.
+func NewView(self Node, others []Node) *View {
 	v := &View{
-		self:     p.self,
+		self:     self,
 		byTarget: map[string][]Node{},
 		domain:   1,
 		attached: 1,
-		keeper:   p.keeper(),
+		keeper:   self.Name,
 	}
-	v.add(p.self)
+	v.add(self)
+	for _, n := range others {
+		v.add(n)
+	}
+	return v
+}
+
+// publish must be called with p.mu held, or before the value is shared.
+func (p *Peers) publish() {
+	v := NewView(p.self, nil)
+	v.keeper = p.keeper()
 	names := map[string][]string{}
 	for name, k := range p.others {
 		own := k.node.Domain == p.self.Domain
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -41,7 +41,7 @@
 	// and other nodes have noticed.
 	steadyLeave = 2300 * time.Millisecond
 	// leaveReserve is the part of the grace time left for closing.
-	leaveReserve = 400 * time.Millisecond
+	leaveReserve = 1 * time.Second
 	// pendingPeriod is how often a leaving node looks whether requests are pending.
 	pendingPeriod = 50 * time.Millisecond
 )
--- a/internal/node/entry/dispatch.go
+++ b/internal/node/entry/dispatch.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapier/internal/conf/rules"
 	"fuchsiapier/internal/mesh/peers"
 	"fuchsiapier/internal/node/call"
 	"fuchsiapier/internal/pipe/msg"
@@ -14,9 +15,9 @@
 const (
 	// patiencePart is the part of a route's objective that a request waits for a
 	// slot before another node is tried.
-	patiencePart = 4
-	// defaultPatience holds for routes without an objective.
-	defaultPatience = 100 * time.Millisecond
+	patiencePart = 0.4
+	// defaultObjective holds for routes without one.
+	defaultObjective = 500 * time.Millisecond
 	// maxRefusals bounds how many gates may refuse a request before it is given up.
 	maxRefusals = 5
 	// hedgeFactor is how many times its mean a node may take before a request that
@@ -138,6 +139,9 @@
 	if d.reached == 0 {
 		return true
 	}
+	if d.request.ran && !d.request.route.Idempotent {
+		return false
+	}
 	return d.mayRepeat()
 }
 
@@ -156,13 +160,13 @@
 	e, q := d.entry, d.request
 	nodes := e.fleet.View().Targets(q.service)
 	skip := func(name string) bool { return d.asked[name] }
-	node, ok := e.picker.best(time.Now(), nodes, skip)
+	node, ok := e.picker.best(time.Now(), nodes, objective(q.route), skip)
 	if !ok || d.refusals >= maxRefusals {
 		if d.patient || d.refusals == 0 || d.reached > 0 {
 			return false
 		}
 		d.patient = true
-		node, ok = e.picker.best(time.Now(), nodes, func(name string) bool { return d.unusable(name) })
+		node, ok = e.picker.best(time.Now(), nodes, objective(q.route), d.unusable)
 		if !ok {
 			return false
 		}
@@ -194,10 +198,14 @@
 	if d.patient {
 		return time.Until(d.request.call.Deadline)
 	}
-	if d.request.route.Objective > 0 {
-		return d.request.route.Objective / patiencePart
+	return time.Duration(patiencePart * float64(objective(d.request.route)))
+}
+
+func objective(r *rules.Route) time.Duration {
+	if r.Objective > 0 {
+		return r.Objective
 	}
-	return defaultPatience
+	return defaultObjective
 }
 
 func (e *Entry) send(ctx context.Context, node peers.Node, c *call.Call) call.Result {
--- a/internal/node/entry/picker.go
+++ b/internal/node/entry/picker.go
@@ -8,10 +8,15 @@
 )
 
 const (
-	// domainCost and regionCost are added to the expected time at a node of another
-	// failure domain or region: the way there and back, and the price of its bytes.
-	domainCost = 30 * time.Millisecond
-	regionCost = 140 * time.Millisecond
+	// awayPart is the part of a route's objective that a node of another failure
+	// domain must be faster by: bytes between domains are billed, and they are worth
+	// it only where the request would be late at home.
+	awayPart = 0.5
+	// domainWay and regionWay are the way to another domain or region and back.
+	domainWay = 3 * time.Millisecond
+	regionWay = 62 * time.Millisecond
+	// regionPart is added to awayPart for a node of another region.
+	regionPart = 0.15
 	// smoothing is the weight of a new answer in a node's running mean.
 	smoothing = 0.2
 	// loadLife is how long what a node said of its wait counts.
@@ -84,7 +89,7 @@
 
 // best returns the node with the least expected time that skip lets through,
 // and false where there is none.
-func (p *picker) best(now time.Time, nodes []peers.Node, skip func(name string) bool) (peers.Node, bool) {
+func (p *picker) best(now time.Time, nodes []peers.Node, objective time.Duration, skip func(name string) bool) (peers.Node, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best := -1
@@ -93,7 +98,7 @@
 		if skip(nodes[i].Name) {
 			continue
 		}
-		cost := p.cost(now, &nodes[i])
+		cost := p.cost(now, &nodes[i], objective)
 		if best < 0 || cost < least {
 			best, least = i, cost
 		}
@@ -105,7 +110,7 @@
 }
 
 // cost must be called with p.mu held.
-func (p *picker) cost(now time.Time, n *peers.Node) time.Duration {
+func (p *picker) cost(now time.Time, n *peers.Node, objective time.Duration) time.Duration {
 	s := p.standing(n)
 	wait := time.Duration(n.WaitMillis) * time.Millisecond
 	if now.Sub(s.waitAt) < loadLife {
@@ -117,9 +122,9 @@
 	}
 	switch {
 	case n.Region != p.region:
-		cost += regionCost
+		cost += regionWay + time.Duration((awayPart+regionPart)*float64(objective))
 	case n.Domain != p.domain:
-		cost += domainCost
+		cost += domainWay + time.Duration(awayPart*float64(objective))
 	}
 	if s.failures > 0 {
 		fresh := s.failures * decay(now.Sub(s.failedAt))
