Gates tell service time and failures; waits stay apart from means

A node that had not been tried looked free of cost, the wait at a gate counted twice, and a failure weighed 150 ms whatever it lost. Change: records carry the mean service time and the share of failures; answers say how long they waited; a certain failure costs three objectives.

--- a/internal/mesh/peers/node.go
+++ b/internal/mesh/peers/node.go
@@ -37,6 +37,10 @@
 	Open bool
 	// WaitMillis is how long calls wait for the target.
 	WaitMillis uint16
+	// ServiceMillis is the mean time that the target takes for a request.
+	ServiceMillis uint16
+	// FailPercent is the recent part of requests that the target failed.
+	FailPercent uint8
 	// Rules is the version of the configuration in force on the node.
 	Rules int64
 	// Store says that the node reached the platform's store lately.
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -294,10 +294,16 @@
 		}
 		n.Slots = uint16(min(s.Slots, 1<<16-1))
 		n.Open = s.Open
-		n.WaitMillis = uint16(min(s.Wait.Milliseconds(), 1<<16-1))
+		n.WaitMillis = shortMillis(s.Wait)
+		n.ServiceMillis = shortMillis(s.ServiceTime)
+		n.FailPercent = uint8(100 * s.FailShare)
 	})
 }
 
+func shortMillis(d time.Duration) uint16 {
+	return uint16(min(d.Milliseconds(), 1<<16-1))
+}
+
 func (a *Agent) peerChanged(c peers.Change) {
 	a.log.Info().Str("node", c.Node.Name).Str("event", c.Event).Str("domain", c.Node.Domain).
 		Str("service", c.Node.Service).Int64("silence-ms", c.Silence.Milliseconds()).Msg("view of a node changed")
--- a/internal/node/call/call.go
+++ b/internal/node/call/call.go
@@ -15,7 +15,8 @@
 const (
 	// FieldCall carries what the gate must know of a request.
 	FieldCall = "Fp-Call"
-	// FieldLoad carries the wait at the gate, in milliseconds.
+	// FieldLoad carries the wait at the gate and how long this request waited there,
+	// in milliseconds.
 	FieldLoad = "Fp-Load"
 	// FieldRefused marks an answer of the gate itself: a reason and the
 	// milliseconds to come back after.
@@ -92,6 +93,8 @@
 	RetryAfter time.Duration
 	// Wait is how long requests wait at the gate now.
 	Wait time.Duration
+	// Queued is how long the request waited at the gate.
+	Queued time.Duration
 	// Reached says that the request was handed to a target at least once.
 	Reached bool
 }
@@ -146,6 +149,29 @@
 	}, nil
 }
 
+// EncodeLoad returns the value of FieldLoad, empty where there is nothing to say.
+func EncodeLoad(r Result) string {
+	wait, queued := r.Wait.Milliseconds(), r.Queued.Milliseconds()
+	if wait == 0 && queued == 0 {
+		return ""
+	}
+	return strconv.FormatInt(wait, 10) + "," + strconv.FormatInt(queued, 10)
+}
+
+// DecodeLoad reads FieldLoad; what is malformed counts as no wait.
+func DecodeLoad(value string) (wait, queued time.Duration) {
+	first, second, _ := strings.Cut(value, ",")
+	return millis(first), millis(second)
+}
+
+func millis(text string) time.Duration {
+	n, err := strconv.ParseInt(text, 10, 32)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(n) * time.Millisecond
+}
+
 // EncodeRefused returns the value of FieldRefused.
 func EncodeRefused(r Result) string {
 	return string(r.Reason) + "," + strconv.FormatInt(r.RetryAfter.Milliseconds(), 10)
@@ -153,10 +179,6 @@
 
 // DecodeRefused reads FieldRefused; a malformed one gives no time.
 func DecodeRefused(value string) (Reason, time.Duration) {
-	reason, millis, _ := strings.Cut(value, ",")
-	n, err := strconv.ParseInt(millis, 10, 32)
-	if err != nil {
-		n = 0
-	}
-	return Reason(reason), time.Duration(n) * time.Millisecond
+	reason, after, _ := strings.Cut(value, ",")
+	return Reason(reason), millis(after)
 }
--- a/internal/node/entry/dispatch.go
+++ b/internal/node/entry/dispatch.go
@@ -180,7 +180,7 @@
 	began := time.Now()
 	go func() {
 		result := e.send(ctx, node, &c)
-		e.picker.end(time.Now(), &node, judgeNode(result), time.Since(began), result.Wait)
+		e.picker.end(time.Now(), &node, judgeNode(result), time.Since(began), result)
 		d.results <- attempt{
 			node:   node,
 			result: result,
--- a/internal/node/entry/picker.go
+++ b/internal/node/entry/picker.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"fuchsiapier/internal/mesh/peers"
+	"fuchsiapier/internal/node/call"
 )
 
 const (
@@ -23,19 +25,27 @@
 	loadLife = 700 * time.Millisecond
 	// failTime is how long a node that could not be reached is a last choice.
 	failTime = 1 * time.Second
-	// failCost is added for each recent failure to answer.
-	failCost = 150 * time.Millisecond
-	// failLife is the time constant in which failures are forgotten.
-	failLife = 2 * time.Second
+	// failWeight is the weight of one more answer in the running share of failures.
+	failWeight = 0.2
+	// failHalfLife is the time in which the share halves without answers.
+	failHalfLife = 1 * time.Second
+	// failCost is how many objectives a certain failure costs: a lost request is
+	// worse than the bytes to another region.
+	failCost = 3
+	// meanLife is how long the running mean of the answers seen here goes before the
+	// one that the gate tells of.
+	meanLife = 3 * time.Second
 )
 
 // standing is what an entry has seen of a node's target.
 type standing struct {
-	// mean is the running mean of the time to an answer.
+	// mean is the running mean of the time to an answer, without the wait at the gate.
 	mean     time.Duration
+	meanAt   time.Time
 	inflight int
 	wait     time.Duration
 	waitAt   time.Time
+	// failures is the running share of failures.
 	failures float64
 	failedAt time.Time
 	deadTill time.Time
@@ -116,9 +126,13 @@
 	if now.Sub(s.waitAt) < loadLife {
 		wait = s.wait
 	}
-	cost := s.mean + wait
+	mean := time.Duration(n.ServiceMillis) * time.Millisecond
+	if now.Sub(s.meanAt) < meanLife {
+		mean = s.mean
+	}
+	cost := mean + wait
 	if n.Slots > 0 {
-		cost += s.mean * time.Duration(s.inflight) / time.Duration(n.Slots)
+		cost += mean * time.Duration(s.inflight) / time.Duration(n.Slots)
 	}
 	switch {
 	case n.Region != p.region:
@@ -126,19 +140,24 @@
 	case n.Domain != p.domain:
 		cost += domainWay + time.Duration(awayPart*float64(objective))
 	}
-	if s.failures > 0 {
-		fresh := s.failures * decay(now.Sub(s.failedAt))
-		cost += time.Duration(fresh * float64(failCost))
-	}
+	share := max(s.failShare(now), float64(n.FailPercent)/100)
+	cost += time.Duration(share * failCost * float64(objective))
 	if now.Before(s.deadTill) {
 		cost += time.Minute
 	}
 	return cost
 }
 
-// decay is the part of a failure that still counts after d.
-func decay(d time.Duration) float64 {
-	return max(0, 1-d.Seconds()/failLife.Seconds())
+// failShare is the share of failures as of now.
+func (s *standing) failShare(now time.Time) float64 {
+	return s.failures * math.Exp2(-now.Sub(s.failedAt).Seconds()/failHalfLife.Seconds())
+}
+
+// note adds an answer to the share of failures.
+func (s *standing) note(now time.Time, sample float64) {
+	s.failures = s.failShare(now)
+	s.failures += failWeight * (sample - s.failures)
+	s.failedAt = now
 }
 
 func (p *picker) begin(n *peers.Node) {
@@ -158,25 +177,27 @@
 )
 
 // end notes how a call at a node ended.
-func (p *picker) end(now time.Time, n *peers.Node, v verdict, took, wait time.Duration) {
+func (p *picker) end(now time.Time, n *peers.Node, v verdict, took time.Duration, r call.Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.standing(n)
 	s.inflight--
 	switch v {
 	case answered:
-		if s.mean == 0 {
-			s.mean = took
+		ran := max(took-r.Queued, 0)
+		if s.mean == 0 || now.Sub(s.meanAt) > meanLife {
+			s.mean = ran
 		}
-		s.mean += time.Duration(smoothing * float64(took-s.mean))
+		s.mean += time.Duration(smoothing * float64(ran-s.mean))
+		s.meanAt = now
+		s.note(now, 0)
 	case failed:
-		s.failures = s.failures*decay(now.Sub(s.failedAt)) + 1
-		s.failedAt = now
+		s.note(now, 1)
 	case unreachable:
 		s.deadTill = now.Add(failTime)
 	}
 	if v != unreachable {
-		s.wait = wait
+		s.wait = r.Wait
 		s.waitAt = now
 	}
 }
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -63,6 +63,10 @@
 	Running int
 	Waiting int
 	Limit   int
+	// ServiceTime is the mean time that the target takes for a request.
+	ServiceTime time.Duration
+	// FailShare is the recent part of requests that the target failed.
+	FailShare float64
 }
 
 // Gate is safe for concurrent use.
@@ -81,6 +85,7 @@
 	waiting   map[*limit.Ticket]chan bool
 	left      map[string]int64
 	leftOrder []string
+	failures  failures
 }
 
 // Option configures a Gate.
@@ -237,6 +242,9 @@
 		Running: g.limiter.Running(),
 		Waiting: g.limiter.Waiting(),
 		Limit:   g.limiter.Limit(),
+
+		ServiceTime: g.limiter.Service(),
+		FailShare:   g.failures.share(time.Now()),
 	}
 }
 
@@ -258,10 +266,13 @@
 		Nested:   c.Nested,
 		Deadline: instant(c.Deadline),
 	}
+	offered := time.Now()
 	result, admitted := g.admit(ctx, c, ticket)
+	queued := time.Since(offered)
 	if admitted {
 		result = g.run(ctx, c, ticket)
 	}
+	result.Queued = queued
 	g.mu.Lock()
 	result.Wait = g.limiter.Wait(&limit.Ticket{})
 	g.mu.Unlock()
@@ -414,12 +425,26 @@
 	result := g.send(ctx, c)
 	g.mu.Lock()
 	g.limiter.Finish(timer.Now(), t, timer.Now().Sub(began), effect(result))
+	failed, counts := failing(result)
+	g.failures.add(time.Now(), failed, counts)
 	woken := g.next()
 	g.mu.Unlock()
 	wake(woken)
 	return result
 }
 
+// failing reports whether a result is a failure of the target, and whether it
+// says anything of it.
+func failing(r call.Result) (failed, counts bool) {
+	switch r.Outcome {
+	case call.Answered:
+		return r.Answer.Status >= fasthttp.StatusInternalServerError, true
+	case call.Unknown:
+		return true, true
+	}
+	return false, false
+}
+
 // effect is what a result says of the target's load.
 func effect(r call.Result) limit.Result {
 	switch {
--- a/internal/node/remote/remote.go
+++ b/internal/node/remote/remote.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"sync"
 	"time"
 
@@ -124,9 +123,8 @@
 
 // read tells the gate's own answers from those of its target.
 func read(a *outlet.Answer) call.Result {
-	r := call.Result{
-		Wait: millis(string(a.Header.Peek(call.FieldLoad))),
-	}
+	r := call.Result{}
+	r.Wait, r.Queued = call.DecodeLoad(string(a.Header.Peek(call.FieldLoad)))
 	refused := a.Header.Peek(call.FieldRefused)
 	if len(refused) == 0 {
 		r.Outcome = call.Answered
@@ -144,14 +142,6 @@
 	return r
 }
 
-func millis(value string) time.Duration {
-	n, err := strconv.ParseInt(value, 10, 32)
-	if err != nil {
-		return 0
-	}
-	return time.Duration(n) * time.Millisecond
-}
-
 var errNoRules = errors.New("node has no configuration to hand out")
 
 // FetchRules reads the configuration in force on another node.
@@ -235,8 +225,8 @@
 	default:
 		out = own(fasthttp.StatusBadGateway, r, attempt, attemptField)
 	}
-	if r.Wait >= time.Millisecond {
-		out = out.With(call.FieldLoad, strconv.FormatInt(r.Wait.Milliseconds(), 10))
+	if load := call.EncodeLoad(r); load != "" {
+		out = out.With(call.FieldLoad, load)
 	}
 	return out
 }
