--- a/internal/node/gate/gate_test.go
+++ b/internal/node/gate/gate_test.go
@@ -71,21 +71,20 @@
 			return
 		}
 		s.begin(req.Header)
-		closed := make(chan struct{})
+		next := make(chan error, 1)
 		go func() {
-			if _, err := r.Peek(1); err != nil {
-				close(closed)
-			}
+			_, err := r.Peek(1)
+			next <- err
 		}()
 		select {
 		case <-s.release:
-		case <-closed:
+		case <-next:
 			s.end(true)
 			return
 		}
 		s.end(false)
 		answer := strings.ReplaceAll(s.answer, "ID", req.Header.Get("X-Id"))
-		if _, err := c.Write([]byte(answer)); err != nil || strings.Contains(answer, "Connection: close") {
+		if _, err := c.Write([]byte(answer)); err != nil || strings.Contains(answer, "Connection: close") || <-next != nil {
 			return
 		}
 	}
