A leaving node answers every request that it has read; repeats have a budget over all nodes

Change: Quiesce ends reading before connections are closed, and a connection has pending requests until their answers are written; repeats are tokens of the pool, charged at every service that the repeat reaches, by the learned call graph; short calls leave an overloaded domain sooner than large answers. Conclusion: TestQuiesceAnswersWhatWasRead fails with connections closed at once, and showed a second gap (answers counted as written before they were).

--- a/cmd/fuchsiapierd/cmd_serve.go
+++ b/cmd/fuchsiapierd/cmd_serve.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	defer stop()
+	defer bounded(stop, stopLimit)
 	log.Info().Str("domain", place.Domain).Str("region", place.Region).Str("service", place.TargetService).Msg("started")
 	for s := range signals {
 		if s != syscall.SIGHUP {
@@ -88,6 +88,22 @@
 	return nil
 }
 
+// stopLimit bounds the clean-up of a process that is about to end anyway.
+const stopLimit = 300 * time.Millisecond
+
+// bounded runs a clean-up and goes on without it when it takes too long.
+func bounded(stop func(), limit time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		stop()
+	}()
+	select {
+	case <-done:
+	case <-time.After(limit):
+	}
+}
+
 // reload checks a changed settings file. What it may change while a process runs
 // reaches the node by other ways; addresses need a restart.
 func reload(path string, log zerolog.Logger) {
--- /dev/null
+++ b/internal/admit/graph/graph.go
@@ -0,0 +1,134 @@
+// Package graph learns the call graph of the services: how many calls one run at
+// a service brings to each other service, directly and further down. Each node
+// counts the calls of the target on its VM; the nodes tell each other.
+// The package does no I/O and takes time as an argument.
+package graph
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"fuchsiapier/internal/base/timer"
+)
+
+const (
+	// window is the time constant of the counts.
+	window = 10 * time.Second
+	// minRuns is how many runs must have been counted before the ratio is told.
+	minRuns = 5
+	// minCalls is the least ratio that is told; stray calls are no edge.
+	minCalls = 0.02
+	// maxDepth bounds how far down calls are followed.
+	maxDepth = 24
+)
+
+// Edge is the mean number of calls to a service for each run.
+type Edge struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	// PerCent is the number of calls for a hundred runs.
+	PerCent uint16
+}
+
+// Counter counts the runs and calls of the target on one VM; it is safe for
+// concurrent use.
+type Counter struct {
+	mu    sync.Mutex
+	runs  decayed
+	calls map[string]*decayed
+}
+
+// decayed is a count with exponential decay.
+type decayed struct {
+	n  float64
+	at timer.Instant
+}
+
+func (d *decayed) add(now timer.Instant, n float64) {
+	d.value(now)
+	d.n += n
+}
+
+func (d *decayed) value(now timer.Instant) float64 {
+	if dt := now.Sub(d.at); dt > 0 {
+		d.n *= math.Exp(-dt.Seconds() / window.Seconds())
+		d.at = now
+	}
+	return d.n
+}
+
+// NewCounter returns an empty counter.
+func NewCounter() *Counter {
+	return &Counter{
+		calls: map[string]*decayed{},
+	}
+}
+
+// Ran counts a run at the target.
+func (c *Counter) Ran(now timer.Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs.add(now, 1)
+}
+
+// Called counts a call of the target to a service.
+func (c *Counter) Called(now timer.Instant, service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d, ok := c.calls[service]
+	if !ok {
+		d = &decayed{}
+		c.calls[service] = d
+	}
+	d.add(now, 1)
+}
+
+// Reset forgets what another target did on the VM.
+func (c *Counter) Reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs = decayed{}
+	clear(c.calls)
+}
+
+// Edges returns what one run of the target calls.
+func (c *Counter) Edges(now timer.Instant) []Edge {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	runs := c.runs.value(now)
+	if runs < minRuns {
+		return nil
+	}
+	var out []Edge
+	for service, d := range c.calls {
+		if ratio := d.value(now) / runs; ratio >= minCalls {
+			out = append(out, Edge{
+				Service: service,
+				PerCent: uint16(min(math.Round(100*ratio), math.MaxUint16)),
+			})
+		}
+	}
+	return out
+}
+
+// Costs returns how many arrivals one request to a service brings to each
+// service, the request itself included, given the edges of every service.
+func Costs(service string, edges map[string][]Edge) map[string]float64 {
+	costs := map[string]float64{}
+	follow(service, 1, edges, costs, map[string]bool{}, 0)
+	return costs
+}
+
+// follow adds the calls of n runs at a service; cycles are followed once.
+func follow(service string, n float64, edges map[string][]Edge, costs map[string]float64, above map[string]bool, depth int) {
+	costs[service] += n
+	if above[service] || depth >= maxDepth {
+		return
+	}
+	above[service] = true
+	defer delete(above, service)
+	for _, e := range edges[service] {
+		follow(e.Service, n*float64(e.PerCent)/100, edges, costs, above, depth+1)
+	}
+}
--- /dev/null
+++ b/internal/admit/graph/graph_test.go
@@ -0,0 +1,49 @@
+package graph
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"fuchsiapier/internal/base/timer"
+)
+
+func TestDeepCallsAreCounted(t *testing.T) {
+	Convey("A request's cost follows the calls down to the last service", t, func() {
+		edges := map[string][]Edge{
+			"quota":    {{Service: "permits", PerCent: 100}},
+			"permits":  {{Service: "landings", PerCent: 100}},
+			"landings": {{Service: "inspect", PerCent: 400}},
+		}
+		So(Costs("quota", edges), ShouldResemble, map[string]float64{"quota": 1, "permits": 1, "landings": 1, "inspect": 4})
+		So(Costs("inspect", edges), ShouldResemble, map[string]float64{"inspect": 1})
+	})
+	Convey("A cycle ends", t, func() {
+		edges := map[string][]Edge{
+			"a": {{Service: "b", PerCent: 100}},
+			"b": {{Service: "a", PerCent: 100}},
+		}
+		So(Costs("a", edges), ShouldResemble, map[string]float64{"a": 2, "b": 1})
+	})
+}
+
+func TestCounter(t *testing.T) {
+	Convey("Edges are calls for each run, told once enough runs were seen", t, func() {
+		c := NewCounter()
+		now := timer.Instant(time.Hour)
+		for i := range 100 {
+			if i == 4 {
+				So(c.Edges(now), ShouldBeNil)
+			}
+			now = now.Add(10 * time.Millisecond)
+			c.Ran(now)
+			for range 4 {
+				c.Called(now, "inspect")
+			}
+		}
+		So(c.Edges(now), ShouldResemble, []Edge{{Service: "inspect", PerCent: 400}})
+		c.Reset()
+		So(c.Edges(now), ShouldBeNil)
+	})
+}
--- /dev/null
+++ b/internal/admit/retry/budget.go
@@ -0,0 +1,134 @@
+package retry
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"fuchsiapier/internal/base/timer"
+)
+
+const (
+	// budgetSafety is the part of the allowed repeats that is used; counts of callers'
+	// requests are estimates, and services see repeats of repeats.
+	budgetSafety = 0.7
+	// burstPart is the part of the slack that may be used at once.
+	burstPart = 0.3
+	// rateWindow is the time constant of the estimate of callers' requests.
+	rateWindow = 10 * time.Second
+	// minCost is the least part of a repeat at a service that is charged.
+	minCost = 0.1
+)
+
+// Tokens keeps named budgets over all nodes.
+type Tokens interface {
+	Take(ctx context.Context, budget string) (ok bool, retryAfter time.Duration)
+}
+
+// Bounds say how many repeats a service may get, over all nodes: within any
+// window Ratio of the callers' requests to it and Slack more.
+type Bounds struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// Budget bounds the repeats of each service over all nodes. A repeat is charged
+// at every service that it reaches, through the calls it makes there.
+type Budget struct {
+	bounds Bounds
+	tokens Tokens
+	// costs returns the arrivals that a request to a service brings to each service.
+	costs func(service string) map[string]float64
+	// nodes and domains count the fleet.
+	fleet func() (nodes, domains int)
+	mu    sync.Mutex
+	rates map[string]*rate
+}
+
+type rate struct {
+	value float64
+	at    timer.Instant
+}
+
+func (r *rate) now(now timer.Instant) float64 {
+	if dt := now.Sub(r.at); dt > 0 {
+		r.value *= math.Exp(-dt.Seconds() / rateWindow.Seconds())
+		r.at = now
+	}
+	return r.value
+}
+
+// NewBudget returns a budget.
+func NewBudget(bounds Bounds, tokens Tokens, costs func(string) map[string]float64, fleet func() (nodes, domains int)) *Budget {
+	return &Budget{
+		bounds: bounds,
+		tokens: tokens,
+		costs:  costs,
+		fleet:  fleet,
+		rates:  map[string]*rate{},
+	}
+}
+
+// First notes a caller's request to a service.
+func (b *Budget) First(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := timer.Now()
+	r, ok := b.rates[service]
+	if !ok {
+		r = &rate{}
+		b.rates[service] = r
+	}
+	r.now(now)
+	r.value += 1 / rateWindow.Seconds()
+}
+
+// budgetPrefix keeps the names of these budgets apart from workspaces.
+const budgetPrefix = "repeats/"
+
+// Service returns the service of a budget's name.
+func Service(budget string) (service string, ok bool) {
+	if len(budget) <= len(budgetPrefix) || budget[:len(budgetPrefix)] != budgetPrefix {
+		return "", false
+	}
+	return budget[len(budgetPrefix):], true
+}
+
+// Limit returns the rate, in repeats a second, and the burst that a failure
+// domain may use of a service's budget. The callers' requests of the fleet are
+// estimated from those at this node.
+func (b *Budget) Limit(service string) (perSecond, burst float64) {
+	nodes, domains := b.fleet()
+	b.mu.Lock()
+	own := 0.0
+	if r, ok := b.rates[service]; ok {
+		own = r.now(timer.Now())
+	}
+	b.mu.Unlock()
+	fleet := b.bounds.Ratio*own*float64(nodes) + b.bounds.Slack/b.bounds.Window.Seconds()
+	part := budgetSafety / float64(max(domains, 1))
+	return fleet * part, max(1, burstPart*b.bounds.Slack/float64(max(domains, 1)))
+}
+
+// Spend takes one repeat of a service, and of each service that it calls, and
+// reports whether all of them allow it.
+func (b *Budget) Spend(service string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), spendWait)
+	defer cancel()
+	for s, n := range b.costs(service) {
+		if n < minCost {
+			continue
+		}
+		for range int(math.Ceil(n)) {
+			if ok, _ := b.tokens.Take(ctx, budgetPrefix+s); !ok {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// spendWait bounds how long a request waits for the budget.
+const spendWait = 60 * time.Millisecond
--- a/internal/mesh/peers/node.go
+++ b/internal/mesh/peers/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fuchsiapier/internal/admit/crash"
+	"fuchsiapier/internal/admit/graph"
 	"fuchsiapier/internal/quota/pool"
 )
 
@@ -41,6 +42,8 @@
 	ServiceMillis uint16
 	// FailPercent is the recent part of requests that the target failed.
 	FailPercent uint8
+	// Calls are the calls that one run of the target makes.
+	Calls []graph.Edge
 	// Rules is the version of the configuration in force on the node.
 	Rules int64
 	// Store says that the node reached the platform's store lately.
--- a/internal/mesh/peers/peers.go
+++ b/internal/mesh/peers/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"reflect"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -122,7 +123,7 @@
 	defer p.mu.Unlock()
 	before := p.self
 	f(&p.self)
-	if p.self == before {
+	if reflect.DeepEqual(p.self, before) {
 		return
 	}
 	p.self.Seq++
--- a/internal/mesh/peers/view.go
+++ b/internal/mesh/peers/view.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"fuchsiapier/internal/admit/graph"
 	"fuchsiapier/internal/mesh/rank"
 )
 
@@ -80,6 +81,40 @@
 	return v.byTarget[service]
 }
 
+// Costs returns how many arrivals a request to a service brings to each service,
+// as the nodes have counted them.
+func (v *View) Costs(service string) map[string]float64 {
+	sums := map[string]map[string]int{}
+	counted := map[string]int{}
+	for _, n := range v.nodes {
+		if len(n.Calls) == 0 {
+			continue
+		}
+		counted[n.Service]++
+		if sums[n.Service] == nil {
+			sums[n.Service] = map[string]int{}
+		}
+		for _, e := range n.Calls {
+			sums[n.Service][e.Service] += int(e.PerCent)
+		}
+	}
+	edges := map[string][]graph.Edge{}
+	for from, calls := range sums {
+		for to, perCent := range calls {
+			edges[from] = append(edges[from], graph.Edge{
+				Service: to,
+				PerCent: uint16(perCent / counted[from]),
+			})
+		}
+	}
+	return graph.Costs(service, edges)
+}
+
+// Fleet counts the live nodes and the failure domains that they are in.
+func (v *View) Fleet() (nodes, domains int) {
+	return len(v.nodes), len(v.keepers) + 1
+}
+
 // Keeper names the node that keeps the tokens of the own domain.
 func (p *Peers) Keeper() string {
 	return p.View().keeper
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"fuchsiapier/internal/admit/crash"
+	"fuchsiapier/internal/admit/graph"
 	"fuchsiapier/internal/admit/retry"
 	"fuchsiapier/internal/base/super"
 	"fuchsiapier/internal/base/timer"
@@ -75,7 +76,11 @@
 	callers *inlet.Server
 	calls   *inlet.Server
 	docket  *docket
+	graph   *graph.Counter
+	repeats *retry.Budget
 	trimmed time.Time
+	// targetBorn is the start of the target whose calls are being counted.
+	targetBorn atomic.Int64
 	// up says that all parts are there, so that messages of other nodes can be taken.
 	up atomic.Bool
 }
@@ -90,6 +95,7 @@
 		stats:   counters,
 		tree:    tree,
 		docket:  newDocket(log),
+		graph:   graph.NewCounter(),
 		trimmed: time.Now(),
 	}
 	if err := a.start(); err != nil {
@@ -108,7 +114,7 @@
 		return err
 	}
 	var stop func()
-	a.gate, stop = gate.New(a.dialect.Names, gate.WithChanged(a.targetChanged))
+	a.gate, stop = gate.New(a.dialect.Names, gate.WithChanged(a.targetChanged), gate.WithRan(func() { a.graph.Ran(timer.Now()) }))
 	a.tree.Own(stop)
 	a.links, stop = remote.New(self, a.dialect.Names)
 	a.tree.Own(stop)
@@ -162,6 +168,16 @@
 		peers.WithLender(func(ctx context.Context, q pool.Ask) pool.Grant { return a.tokens.Lend(ctx, q) }),
 	)
 	a.tokens = pool.New(self.Name, a.peers, a.limit)
+	bounds := retry.Bounds{
+		Ratio:  a.place.RetryRatio,
+		Slack:  a.place.RetrySlack,
+		Window: a.place.RetryWindow,
+	}
+	costs := func(service string) map[string]float64 { return a.peers.View().Costs(service) }
+	a.repeats = retry.NewBudget(bounds, a.tokens, costs, func() (int, int) {
+		nodes, _ := a.peers.View().Fleet()
+		return nodes, a.domains()
+	})
 	receive := func(from net.Addr, data []byte) {
 		if !a.up.Load() {
 			return
@@ -205,7 +221,8 @@
 		Gate:    a.gate,
 		Remote:  a.links,
 		Tokens:  a.tokens,
-		Repeats: retry.NewShares(),
+		Repeats: a.repeats,
+		Graph:   a.graph,
 		Meter:   a.stats,
 		Log:     a.log,
 	})
@@ -246,8 +263,21 @@
 	return inlet.DefaultLimits
 }
 
-// limit returns the slice of a workspace's limit that the failure domain owns.
+// domains is how many failure domains share each limit.
+func (a *Agent) domains() int {
+	return max(len(a.place.Domains), 1)
+}
+
+// limit returns the slice of a workspace's limit, or of a service's budget for
+// repeats, that the failure domain owns.
 func (a *Agent) limit(workspace string) (pool.Limit, bool) {
+	if service, ok := retry.Service(workspace); ok {
+		perSecond, burst := a.repeats.Limit(service)
+		return pool.Limit{
+			Rate:  perSecond,
+			Burst: burst,
+		}, true
+	}
 	r := a.watcher.Current()
 	if r == nil {
 		return pool.Limit{}, false
@@ -256,7 +286,7 @@
 	if !ok || w.Rate <= 0 {
 		return pool.Limit{}, false
 	}
-	domains := float64(max(len(a.place.Domains), 1))
+	domains := float64(a.domains())
 	return pool.Limit{
 		Rate:  w.Rate / domains,
 		Burst: max(w.Burst, 1) / domains,
@@ -283,6 +313,9 @@
 func (a *Agent) targetChanged(s gate.State) {
 	a.log.Info().Str("target", s.ID).Str("service", s.Service).Int("slots", s.Slots).Bool("open", s.Open).
 		Int64("born", s.Born).Int64("seq", s.Seq).Msg("target changed")
+	if s.Born != a.targetBorn.Swap(s.Born) {
+		a.graph.Reset()
+	}
 	a.publishTarget(s, true)
 }
 
@@ -297,6 +330,7 @@
 		n.WaitMillis = shortMillis(s.Wait)
 		n.ServiceMillis = shortMillis(s.ServiceTime)
 		n.FailPercent = uint8(100 * s.FailShare)
+		n.Calls = a.graph.Edges(timer.Now())
 	})
 }
 
@@ -325,7 +359,7 @@
 }
 
 // Leave stops taking new work, finishes what runs, and returns when nothing is
-// pending or the grace time is nearly over.
+// pending and nothing more is read, or the grace time is nearly over.
 func (a *Agent) Leave() {
 	began := time.Now()
 	end := began.Add(a.place.Grace - leaveReserve)
@@ -337,10 +371,21 @@
 	for time.Now().Before(end) {
 		quiet := a.callers.Pending() == 0 && a.calls.Pending() == 0
 		if quiet && time.Since(began) >= steadyLeave {
-			return
+			break
 		}
 		time.Sleep(pendingPeriod)
 	}
+	a.callers.Quiesce()
+	for time.Now().Before(end) && a.callers.Pending() > 0 {
+		time.Sleep(pendingPeriod)
+	}
+	a.calls.Quiesce()
+	for time.Now().Before(end) && a.calls.Pending() > 0 {
+		time.Sleep(pendingPeriod)
+	}
+	if a.callers.Pending()+a.calls.Pending() == 0 {
+		return
+	}
 	a.log.Warn().Int("callers", a.callers.Pending()).Int("calls", a.calls.Pending()).Msg("grace time is over with requests pending")
 }
 
--- a/internal/node/entry/dispatch.go
+++ b/internal/node/entry/dispatch.go
@@ -160,13 +160,13 @@
 	e, q := d.entry, d.request
 	nodes := e.fleet.View().Targets(q.service)
 	skip := func(name string) bool { return d.asked[name] }
-	node, ok := e.picker.best(time.Now(), nodes, objective(q.route), skip)
+	node, ok := e.picker.best(time.Now(), nodes, d.want(), skip)
 	if !ok || d.refusals >= maxRefusals {
 		if d.patient || d.refusals == 0 || d.reached > 0 {
 			return false
 		}
 		d.patient = true
-		node, ok = e.picker.best(time.Now(), nodes, objective(q.route), d.unusable)
+		node, ok = e.picker.best(time.Now(), nodes, d.want(), d.unusable)
 		if !ok {
 			return false
 		}
@@ -201,6 +201,14 @@
 	return time.Duration(patiencePart * float64(objective(d.request.route)))
 }
 
+// want is what the request asks of a node.
+func (d *dispatcher) want() want {
+	return want{
+		objective: objective(d.request.route),
+		bytes:     d.entry.size(d.request.route.Name),
+	}
+}
+
 func objective(r *rules.Route) time.Duration {
 	if r.Objective > 0 {
 		return r.Objective
@@ -263,6 +271,7 @@
 func (d *dispatcher) judgeAnswer(r call.Result) (*msg.Response, bool) {
 	q := d.request
 	q.ran = true
+	d.entry.noteSize(q, r.Answer)
 	if r.Answer.Status < fasthttp.StatusInternalServerError || !q.route.Idempotent {
 		return r.Answer, true
 	}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapier/internal/base/timer"
 	"fuchsiapier/internal/conf/rules"
 	"fuchsiapier/internal/mesh/peers"
 	"fuchsiapier/internal/node/call"
@@ -56,6 +57,11 @@
 	Spend(service string) bool
 }
 
+// Graph counts the calls of the target on the VM.
+type Graph interface {
+	Called(now timer.Instant, service string)
+}
+
 // Meter counts answers.
 type Meter interface {
 	Answered(route string, status int, reason string, took time.Duration)
@@ -77,11 +83,14 @@
 	remote  Remote
 	tokens  Tokens
 	repeats Repeats
+	graph   Graph
 	meter   Meter
 	log     zerolog.Logger
 	picker  *picker
 	mu      sync.Mutex
 	shares  map[string]map[string]float64
+	// sizes are the mean bytes of a request with its answer, by route.
+	sizes map[string]float64
 }
 
 // Parts are what an entry works with.
@@ -98,6 +107,7 @@
 	Remote  Remote
 	Tokens  Tokens
 	Repeats Repeats
+	Graph   Graph
 	Meter   Meter
 	Log     zerolog.Logger
 }
@@ -115,10 +125,12 @@
 		remote:  p.Remote,
 		tokens:  p.Tokens,
 		repeats: p.Repeats,
+		graph:   p.Graph,
 		meter:   p.Meter,
 		log:     p.Log,
 		picker:  newPicker(p.Self.Name, p.Self.Domain, p.Self.Region),
 		shares:  map[string]map[string]float64{},
+		sizes:   map[string]float64{},
 	}
 }
 
@@ -180,7 +192,9 @@
 	}
 	q.service = e.part(route)
 	q.call = e.newCall(q)
-	if !q.call.Nested {
+	if q.call.Nested {
+		e.graph.Called(timer.Now(), q.service)
+	} else {
 		e.repeats.First(q.service)
 	}
 	return e.dispatch(ctx, q)
@@ -281,6 +295,35 @@
 	return best
 }
 
+const (
+	// messageOverhead is the header bytes of a request with its answer.
+	messageOverhead = 500
+	// sizeSmoothing is the weight of a new answer in a route's mean size.
+	sizeSmoothing = 0.05
+)
+
+// noteSize adds an answer to the mean size of its route.
+func (e *Entry) noteSize(q *request, answer *msg.Response) {
+	bytes := float64(messageOverhead + len(q.in.Body) + len(answer.Body))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	mean, ok := e.sizes[q.route.Name]
+	if !ok {
+		mean = bytes
+	}
+	e.sizes[q.route.Name] = mean + sizeSmoothing*(bytes-mean)
+}
+
+// size returns the mean bytes of a route's request with its answer.
+func (e *Entry) size(route string) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if mean, ok := e.sizes[route]; ok {
+		return mean
+	}
+	return messageOverhead
+}
+
 // refusal says that the request has not run and when to come back, spread so
 // that refused callers do not return together.
 func (e *Entry) refusal(status int, q *request, after time.Duration, text string) *msg.Response {
--- a/internal/node/entry/entry_test.go
+++ b/internal/node/entry/entry_test.go
@@ -11,6 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapier/internal/base/timer"
 	"fuchsiapier/internal/conf/rules"
 	"fuchsiapier/internal/mesh/peers"
 	"fuchsiapier/internal/node/call"
@@ -87,6 +88,7 @@
 		Remote:  w,
 		Tokens:  w,
 		Repeats: w,
+		Graph:   w,
 		Meter:   w,
 		Log:     zerolog.Nop(),
 	})
@@ -141,6 +143,8 @@
 }
 func (w *world) First(string) {}
 
+func (w *world) Called(timer.Instant, string) {}
+
 func (w *world) Spend(string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/node/entry/picker.go
+++ b/internal/node/entry/picker.go
@@ -10,15 +10,19 @@
 )
 
 const (
-	// awayPart is the part of a route's objective that a node of another failure
-	// domain must be faster by: bytes between domains are billed, and they are worth
-	// it only where the request would be late at home.
-	awayPart = 0.5
+	// awayPartPerKB is the part of a route's objective that a node of another failure
+	// domain must be faster by for each kilobyte of the request with its answer: bytes
+	// between domains are billed, and large answers are worth it only where they would
+	// be late at home.
+	awayPartPerKB = 0.08
+	minAwayPart   = 0.06
+	maxAwayPart   = 0.5
 	// domainWay and regionWay are the way to another domain or region and back.
 	domainWay = 3 * time.Millisecond
 	regionWay = 62 * time.Millisecond
-	// regionPart is added to awayPart for a node of another region.
-	regionPart = 0.15
+	// regionFactor multiplies the part for a node of another region, where bytes are
+	// billed twice and the links are shared.
+	regionFactor = 1.6
 	// smoothing is the weight of a new answer in a node's running mean.
 	smoothing = 0.2
 	// loadLife is how long what a node said of its wait counts.
@@ -37,6 +41,19 @@
 	meanLife = 3 * time.Second
 )
 
+// want is what a request asks of a node.
+type want struct {
+	objective time.Duration
+	// bytes is the expected size of the request with its answer.
+	bytes float64
+}
+
+// away is what the way to another domain costs apart from its time.
+func (w want) away() time.Duration {
+	part := min(max(awayPartPerKB*w.bytes/1000, minAwayPart), maxAwayPart)
+	return time.Duration(part * float64(w.objective))
+}
+
 // standing is what an entry has seen of a node's target.
 type standing struct {
 	// mean is the running mean of the time to an answer, without the wait at the gate.
@@ -99,7 +116,7 @@
 
 // best returns the node with the least expected time that skip lets through,
 // and false where there is none.
-func (p *picker) best(now time.Time, nodes []peers.Node, objective time.Duration, skip func(name string) bool) (peers.Node, bool) {
+func (p *picker) best(now time.Time, nodes []peers.Node, w want, skip func(name string) bool) (peers.Node, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best := -1
@@ -108,7 +125,7 @@
 		if skip(nodes[i].Name) {
 			continue
 		}
-		cost := p.cost(now, &nodes[i], objective)
+		cost := p.cost(now, &nodes[i], w)
 		if best < 0 || cost < least {
 			best, least = i, cost
 		}
@@ -120,7 +137,7 @@
 }
 
 // cost must be called with p.mu held.
-func (p *picker) cost(now time.Time, n *peers.Node, objective time.Duration) time.Duration {
+func (p *picker) cost(now time.Time, n *peers.Node, w want) time.Duration {
 	s := p.standing(n)
 	wait := time.Duration(n.WaitMillis) * time.Millisecond
 	if now.Sub(s.waitAt) < loadLife {
@@ -136,12 +153,12 @@
 	}
 	switch {
 	case n.Region != p.region:
-		cost += regionWay + time.Duration((awayPart+regionPart)*float64(objective))
+		cost += regionWay + time.Duration(regionFactor*float64(w.away()))
 	case n.Domain != p.domain:
-		cost += domainWay + time.Duration(awayPart*float64(objective))
+		cost += domainWay + w.away()
 	}
 	share := max(s.failShare(now), float64(n.FailPercent)/100)
-	cost += time.Duration(share * failCost * float64(objective))
+	cost += time.Duration(share * failCost * float64(w.objective))
 	if now.Before(s.deadTill) {
 		cost += time.Minute
 	}
--- a/internal/node/entry/picker_test.go
+++ b/internal/node/entry/picker_test.go
@@ -12,7 +12,10 @@
 	"fuchsiapier/internal/pipe/msg"
 )
 
-const objectiveOfTests = 300 * time.Millisecond
+var wantOfTests = want{
+	objective: 300 * time.Millisecond,
+	bytes:     6000,
+}
 
 func everyone(string) bool { return false }
 
@@ -26,7 +29,7 @@
 }
 
 func pick(p *picker, nodes ...peers.Node) string {
-	n, _ := p.best(time.Now(), nodes, objectiveOfTests, everyone)
+	n, _ := p.best(time.Now(), nodes, wantOfTests, everyone)
 	return n.Name
 }
 
@@ -45,6 +48,20 @@
 	})
 }
 
+func TestSmallAnswersCrossSooner(t *testing.T) {
+	Convey("A short call leaves an overloaded domain for a smaller gain than a large answer", t, func() {
+		p := newPicker("self", "d1", "r1")
+		nodes := []peers.Node{told("home", "d1", "r1", 40, 90, 0), told("near", "d2", "r1", 40, 0, 0)}
+		So(pick(p, nodes...), ShouldEqual, "home")
+		small := want{
+			objective: 300 * time.Millisecond,
+			bytes:     600,
+		}
+		n, _ := p.best(time.Now(), nodes, small, everyone)
+		So(n.Name, ShouldEqual, "near")
+	})
+}
+
 func TestSlowServerIsAvoided(t *testing.T) {
 	Convey("Servers turn slow: a home target that misses its deadlines is left before a faster one far away", t, func() {
 		p := newPicker("self", "d1", "r1")
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -74,6 +74,7 @@
 	names   msg.Names
 	filter  msg.Filter
 	changed func(State)
+	ran     func()
 
 	mu        sync.Mutex
 	target    Target
@@ -98,12 +99,20 @@
 	}
 }
 
+// WithRan registers a function that is told of each run at the target.
+func WithRan(f func()) Option {
+	return func(g *Gate) {
+		g.ran = f
+	}
+}
+
 // New returns a gate without a target and its clean-up.
 func New(names msg.Names, options ...Option) (*Gate, func()) {
 	g := &Gate{
 		names:   names,
 		filter:  msg.NewFilter(call.FieldCall, call.FieldLoad, call.FieldRefused),
 		changed: func(State) {},
+		ran:     func() {},
 		limiter: limit.New(unknownSlots),
 		waiting: map[*limit.Ticket]chan bool{},
 		left:    map[string]int64{},
@@ -423,6 +432,9 @@
 func (g *Gate) run(ctx context.Context, c *call.Call, t *limit.Ticket) call.Result {
 	began := timer.Now()
 	result := g.send(ctx, c)
+	if result.Reached {
+		g.ran()
+	}
 	g.mu.Lock()
 	g.limiter.Finish(timer.Now(), t, timer.Now().Sub(began), effect(result))
 	failed, counts := failing(result)
--- a/internal/pipe/inlet/conn.go
+++ b/internal/pipe/inlet/conn.go
@@ -27,6 +27,8 @@
 	mu     sync.Mutex
 	// pending counts requests read whose answers have not been written.
 	pending int
+	// reading says that a request has begun to arrive.
+	reading bool
 	// last is closed when the answer of the newest request has been written.
 	last chan struct{}
 	// ended says that an answer has closed the connection: nothing read after it
@@ -66,6 +68,7 @@
 		if _, err := c.r.Peek(1); err != nil {
 			return
 		}
+		c.setReading(true)
 		if c.isEnded() {
 			c.discard()
 			return
@@ -100,6 +103,9 @@
 	switch {
 	case c.ended:
 		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+	case c.reading:
+	case c.pending == 0 && c.server.isQuiet():
+		_ = c.SetReadDeadline(time.Now())
 	case c.pending == 0:
 		_ = c.SetReadDeadline(time.Now().Add(c.server.currentLimits().IdleTimeout))
 	default:
@@ -107,6 +113,12 @@
 	}
 }
 
+func (c *conn) setReading(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+}
+
 func (c *conn) isEnded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -202,6 +214,7 @@
 		return false
 	}
 	c.pending++
+	c.reading = false
 	c.server.count(1)
 	before := c.last
 	done := make(chan struct{})
@@ -245,10 +258,10 @@
 
 // answer writes an answer in its turn; nil ends the connection without one.
 func (c *conn) answer(resp *msg.Response, method string, callerCloses bool) {
+	defer c.written()
 	c.mu.Lock()
-	c.pending--
 	over := c.ended
-	closes := resp == nil || callerCloses || (c.server.isDraining() && c.pending == 0)
+	closes := resp == nil || callerCloses || (c.server.isDraining() && c.pending == 1)
 	if closes {
 		c.ended = true
 	}
@@ -272,8 +285,14 @@
 	if closes {
 		c.shutWrite()
 	}
+}
+
+// written notes that a request has had its answer: only then may the reader give
+// the connection up.
+func (c *conn) written() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.pending--
 	if c.pending == 0 {
 		c.setIdleDeadline()
 	}
--- a/internal/pipe/inlet/inlet.go
+++ b/internal/pipe/inlet/inlet.go
@@ -54,6 +54,7 @@
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	draining bool
+	quiet    bool
 	pending  int
 }
 
@@ -150,6 +151,37 @@
 	s.draining = true
 }
 
+// Quiesce ends the listener and every connection that is not in the middle of a
+// request: bytes that arrive from now on are left unread, so that callers may
+// send them elsewhere. Requests that were read are answered.
+func (s *Server) Quiesce() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	s.draining = true
+	s.quiet = true
+	conns := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	for _, c := range conns {
+		c.awaitRequest()
+	}
+}
+
+// Open returns how many connections are open.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+func (s *Server) isQuiet() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quiet
+}
+
 // Pending returns how many requests are being handled.
 func (s *Server) Pending() int {
 	s.mu.Lock()
--- a/internal/pipe/inlet/inlet_test.go
+++ b/internal/pipe/inlet/inlet_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -217,3 +219,36 @@
 		So(status, ShouldEqual, http.StatusOK)
 	})
 }
+
+func TestQuiesceAnswersWhatWasRead(t *testing.T) {
+	Convey("Restarts under load: every request that was read gets its answer", t, func() {
+		var handled, answered atomic.Int64
+		s, _, _ := start(t, func(ctx context.Context, in *Inbound) *msg.Response {
+			handled.Add(1)
+			return echo(ctx, in)
+		})
+		var callers sync.WaitGroup
+		for range 20 {
+			c, r := connect(t, s)
+			callers.Go(func() {
+				for {
+					if _, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+						return
+					}
+					status, _, closes := read(r)
+					if status == http.StatusOK {
+						answered.Add(1)
+					}
+					if closes {
+						return
+					}
+				}
+			})
+		}
+		So(eventually(func() bool { return answered.Load() > 500 }), ShouldBeTrue)
+		s.Quiesce()
+		callers.Wait()
+		So(eventually(func() bool { return s.Open() == 0 }), ShouldBeTrue)
+		So(answered.Load(), ShouldEqual, handled.Load())
+	})
+}
