Repeats are charged at their service and its direct calls; short calls cross later

Cause: charging a repeat along the whole graph left inspect's budget for 3.5 repeats of quota checks a second; crossing at 0.06 of the objective let the ordinary difference between servers of one service fill the links.

--- a/internal/admit/graph/graph.go
+++ b/internal/admit/graph/graph.go
@@ -1,5 +1,5 @@
 // Package graph learns the call graph of the services: how many calls one run at
-// a service brings to each other service, directly and further down. Each node
+// a service brings to each other service. Each node
 // counts the calls of the target on its VM; the nodes tell each other.
 // The package does no I/O and takes time as an argument.
 package graph
@@ -19,8 +19,6 @@
 	minRuns = 5
 	// minCalls is the least ratio that is told; stray calls are no edge.
 	minCalls = 0.02
-	// maxDepth bounds how far down calls are followed.
-	maxDepth = 24
 )
 
 // Edge is the mean number of calls to a service for each run.
@@ -112,23 +110,15 @@
 	return out
 }
 
-// Costs returns how many arrivals one request to a service brings to each
-// service, the request itself included, given the edges of every service.
+// Costs returns how many arrivals one more run at a service brings to each
+// service: itself and what it calls directly. Calls further down are first
+// arrivals of their own.
 func Costs(service string, edges map[string][]Edge) map[string]float64 {
-	costs := map[string]float64{}
-	follow(service, 1, edges, costs, map[string]bool{}, 0)
-	return costs
-}
-
-// follow adds the calls of n runs at a service; cycles are followed once.
-func follow(service string, n float64, edges map[string][]Edge, costs map[string]float64, above map[string]bool, depth int) {
-	costs[service] += n
-	if above[service] || depth >= maxDepth {
-		return
+	costs := map[string]float64{
+		service: 1,
 	}
-	above[service] = true
-	defer delete(above, service)
 	for _, e := range edges[service] {
-		follow(e.Service, n*float64(e.PerCent)/100, edges, costs, above, depth+1)
+		costs[e.Service] += float64(e.PerCent) / 100
 	}
+	return costs
 }
--- a/internal/admit/retry/budget.go
+++ b/internal/admit/retry/budget.go
@@ -12,9 +12,9 @@
 const (
 	// budgetSafety is the part of the allowed repeats that is used; counts of callers'
 	// requests are estimates, and services see repeats of repeats.
-	budgetSafety = 0.7
+	budgetSafety = 0.8
 	// burstPart is the part of the slack that may be used at once.
-	burstPart = 0.3
+	burstPart = 0.4
 	// rateWindow is the time constant of the estimate of callers' requests.
 	rateWindow = 10 * time.Second
 	// minCost is the least part of a repeat at a service that is charged.
--- a/internal/node/entry/picker.go
+++ b/internal/node/entry/picker.go
@@ -15,7 +15,7 @@
 	// between domains are billed, and large answers are worth it only where they would
 	// be late at home.
 	awayPartPerKB = 0.08
-	minAwayPart   = 0.06
+	minAwayPart   = 0.4
 	maxAwayPart   = 0.5
 	// domainWay and regionWay are the way to another domain or region and back.
 	domainWay = 3 * time.Millisecond
