Failures count above the median of the service; rare failures only are repeated from above

Change: shares of failures are compared with the median of the service, remembered for 3 s; a target's own failure is repeated only where it is rare; half of a window's repeats may be used at once.

--- a/internal/admit/retry/budget.go
+++ b/internal/admit/retry/budget.go
@@ -13,8 +13,9 @@
 	// budgetSafety is the part of the allowed repeats that is used; counts of callers'
 	// requests are estimates, and services see repeats of repeats.
 	budgetSafety = 0.8
-	// burstPart is the part of the slack that may be used at once.
-	burstPart = 0.4
+	// burstPart is the part of a window's repeats that may be used at once: answers
+	// are lost in bursts.
+	burstPart = 0.5
 	// rateWindow is the time constant of the estimate of callers' requests.
 	rateWindow = 10 * time.Second
 	// minCost is the least part of a repeat at a service that is charged.
@@ -107,9 +108,9 @@
 		own = r.now(timer.Now())
 	}
 	b.mu.Unlock()
-	fleet := b.bounds.Ratio*own*float64(nodes) + b.bounds.Slack/b.bounds.Window.Seconds()
-	part := budgetSafety / float64(max(domains, 1))
-	return fleet * part, max(1, burstPart*b.bounds.Slack/float64(max(domains, 1)))
+	window := b.bounds.Ratio*own*float64(nodes)*b.bounds.Window.Seconds() + b.bounds.Slack
+	part := budgetSafety * window / float64(max(domains, 1))
+	return part * (1 - burstPart) / b.bounds.Window.Seconds(), max(1, part*burstPart)
 }
 
 // Spend takes one repeat of a service, and of each service that it calls, and
@@ -121,7 +122,7 @@
 		if n < minCost {
 			continue
 		}
-		for range int(math.Ceil(n)) {
+		for range int(math.Round(max(n, 1))) {
 			if ok, _ := b.tokens.Take(ctx, budgetPrefix+s); !ok {
 				return false
 			}
--- /dev/null
+++ b/internal/admit/retry/budget_test.go
@@ -0,0 +1,61 @@
+package retry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+type purse map[string]int
+
+func (p purse) Take(_ context.Context, budget string) (bool, time.Duration) {
+	p[budget]--
+	return p[budget] >= 0, 0
+}
+
+func newTestBudget(p purse) *Budget {
+	bounds := Bounds{
+		Ratio:  0.2,
+		Slack:  47,
+		Window: 10 * time.Second,
+	}
+	costs := func(service string) map[string]float64 {
+		if service == "landings" {
+			return map[string]float64{"landings": 1, "inspect": 4.03, "stray": 0.05}
+		}
+		return map[string]float64{service: 1}
+	}
+	return NewBudget(bounds, p, costs, func() (int, int) { return 24, 6 })
+}
+
+func TestRepeatsAreChargedWhereTheyArrive(t *testing.T) {
+	Convey("Answers lost: a repeat needs room at its service and at those it calls", t, func() {
+		p := purse{"repeats/landings": 2, "repeats/inspect": 5}
+		b := newTestBudget(p)
+		So(b.Spend("landings"), ShouldBeTrue)
+		So(p["repeats/inspect"], ShouldEqual, 1)
+		So(b.Spend("landings"), ShouldBeFalse)
+	})
+	Convey("A budget's name leads back to its service", t, func() {
+		s, ok := Service("repeats/inspect")
+		So(ok, ShouldBeTrue)
+		So(s, ShouldEqual, "inspect")
+		_, ok = Service("acme")
+		So(ok, ShouldBeFalse)
+	})
+}
+
+func TestRepeatsStayWithinTheBound(t *testing.T) {
+	Convey("Burst and rate of all domains together stay below slack and share of any window", t, func() {
+		b := newTestBudget(purse{})
+		for range 30 {
+			b.First("inspect")
+		}
+		rate, burst := b.Limit("inspect")
+		requests := 3.0 * 24 * 10
+		So(6*(10*rate+burst), ShouldBeLessThan, 0.2*requests+47)
+		So(6*(10*rate+burst), ShouldBeGreaterThan, 0.7*(0.2*requests+47))
+	})
+}
--- a/internal/node/entry/dispatch.go
+++ b/internal/node/entry/dispatch.go
@@ -28,6 +28,9 @@
 	// answerGrace is how long after the deadline a gate's last word is awaited, so
 	// that a request that has not run can be said not to have.
 	answerGrace = 100 * time.Millisecond
+	// rareFailures is the share of failures up to which a target's own failure is
+	// worth another try.
+	rareFailures = 0.25
 	// finalReserve is the least time left in which another node is tried.
 	finalReserve = 20 * time.Millisecond
 )
@@ -246,7 +249,7 @@
 	}
 	switch r.Outcome {
 	case call.Answered:
-		return d.judgeAnswer(r)
+		return d.judgeAnswer(a)
 	case call.NotRun:
 		d.refusals++
 		d.last = r.Reason
@@ -266,16 +269,19 @@
 	return nil, false
 }
 
-// judgeAnswer hands a target's answer on; a failure of one that may be repeated
-// is kept while another is tried.
-func (d *dispatcher) judgeAnswer(r call.Result) (*msg.Response, bool) {
+// judgeAnswer hands a target's answer on. A rare failure of a request that may
+// be repeated is kept while another target is tried; where failures are common,
+// their cause lies further down, where each lost call is repeated by itself.
+func (d *dispatcher) judgeAnswer(a attempt) (*msg.Response, bool) {
 	q := d.request
+	answer := a.result.Answer
 	q.ran = true
-	d.entry.noteSize(q, r.Answer)
-	if r.Answer.Status < fasthttp.StatusInternalServerError || !q.route.Idempotent {
-		return r.Answer, true
+	d.entry.noteSize(q, answer)
+	failed := answer.Status >= fasthttp.StatusInternalServerError
+	if !failed || !q.route.Idempotent || d.entry.picker.failing(time.Now(), &a.node) > rareFailures {
+		return answer, true
 	}
-	d.failure = r.Answer
+	d.failure = answer
 	return nil, false
 }
 
--- a/internal/node/entry/entry_test.go
+++ b/internal/node/entry/entry_test.go
@@ -250,6 +250,26 @@
 	})
 }
 
+func TestCommonFailuresAreNotRepeated(t *testing.T) {
+	Convey("Deep failures: where a target fails most requests, they are not sent again from above", t, func() {
+		w := newWorld()
+		w.scripts["home"] = answers(500)
+		w.scripts["other"] = answers(500)
+		for range 12 {
+			w.ask("/safe/1", "secret")
+		}
+		before := len(w.targets())
+		So(w.ask("/safe/1", "secret").Status, ShouldEqual, 500)
+		So(len(w.targets())-before, ShouldEqual, 1)
+	})
+	Convey("A single failure is tried again elsewhere", t, func() {
+		w := newWorld()
+		w.scripts["home"] = answers(500)
+		w.scripts["other"] = answers(200)
+		So(w.ask("/safe/1", "secret").Status, ShouldEqual, 200)
+	})
+}
+
 func TestRefusalsAreTruthful(t *testing.T) {
 	Convey("A request that every gate refuses is answered 503 with a time to come back", t, func() {
 		w := newWorld()
--- a/internal/node/entry/picker.go
+++ b/internal/node/entry/picker.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,8 +32,9 @@
 	failTime = 1 * time.Second
 	// failWeight is the weight of one more answer in the running share of failures.
 	failWeight = 0.2
-	// failHalfLife is the time in which the share halves without answers.
-	failHalfLife = 1 * time.Second
+	// failHalfLife is the time in which the share halves without answers: each probe
+	// of a target that still fails costs requests.
+	failHalfLife = 3 * time.Second
 	// failCost is how many objectives a certain failure costs: a lost request is
 	// worse than the bytes to another region.
 	failCost = 3
@@ -119,13 +121,14 @@
 func (p *picker) best(now time.Time, nodes []peers.Node, w want, skip func(name string) bool) (peers.Node, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	usual := usualFailures(nodes)
 	best := -1
 	least := time.Duration(0)
 	for i := range nodes {
 		if skip(nodes[i].Name) {
 			continue
 		}
-		cost := p.cost(now, &nodes[i], w)
+		cost := p.cost(now, &nodes[i], w, usual)
 		if best < 0 || cost < least {
 			best, least = i, cost
 		}
@@ -136,8 +139,23 @@
 	return nodes[best], true
 }
 
+// usualFailures is the median share of failures that the gates tell of. Only what
+// lies above it is a target's own fault: calls that fail further down fail at
+// every target alike.
+func usualFailures(nodes []peers.Node) float64 {
+	if len(nodes) == 0 {
+		return 0
+	}
+	percents := make([]uint8, 0, len(nodes))
+	for i := range nodes {
+		percents = append(percents, nodes[i].FailPercent)
+	}
+	slices.Sort(percents)
+	return float64(percents[(len(percents)-1)/2]) / 100
+}
+
 // cost must be called with p.mu held.
-func (p *picker) cost(now time.Time, n *peers.Node, w want) time.Duration {
+func (p *picker) cost(now time.Time, n *peers.Node, w want, usual float64) time.Duration {
 	s := p.standing(n)
 	wait := time.Duration(n.WaitMillis) * time.Millisecond
 	if now.Sub(s.waitAt) < loadLife {
@@ -157,7 +175,7 @@
 	case n.Domain != p.domain:
 		cost += domainWay + w.away()
 	}
-	share := max(s.failShare(now), float64(n.FailPercent)/100)
+	share := max(s.worstShare(now, n)-usual, 0)
 	cost += time.Duration(share * failCost * float64(w.objective))
 	if now.Before(s.deadTill) {
 		cost += time.Minute
@@ -170,6 +188,19 @@
 	return s.failures * math.Exp2(-now.Sub(s.failedAt).Seconds()/failHalfLife.Seconds())
 }
 
+// worstShare is the greater share of failures of those seen here and those that
+// the gate tells of.
+func (s *standing) worstShare(now time.Time, n *peers.Node) float64 {
+	return max(s.failShare(now), float64(n.FailPercent)/100)
+}
+
+// failing returns the share of a node's answers that were failures lately.
+func (p *picker) failing(now time.Time, n *peers.Node) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.standing(n).worstShare(now, n)
+}
+
 // note adds an answer to the share of failures.
 func (s *standing) note(now time.Time, sample float64) {
 	s.failures = s.failShare(now)
--- a/internal/node/entry/picker_test.go
+++ b/internal/node/entry/picker_test.go
@@ -82,6 +82,11 @@
 		p := newPicker("self", "d1", "r1")
 		So(pick(p, told("home", "d1", "r1", 80, 0, 60), told("near", "d2", "r1", 20, 0, 0)), ShouldEqual, "near")
 	})
+	Convey("Deep failures: targets that all fail alike keep their own domain's requests", t, func() {
+		p := newPicker("self", "d1", "r1")
+		So(pick(p, told("home", "d1", "r1", 80, 0, 45), told("near", "d2", "r1", 80, 0, 30), told("far", "d3", "r2", 80, 0, 40)), ShouldEqual, "home")
+		So(pick(p, told("home", "d1", "r1", 80, 0, 45), told("near", "d2", "r1", 80, 0, 3), told("far", "d3", "r2", 80, 0, 2)), ShouldEqual, "near")
+	})
 	Convey("An unreachable node is the last choice, and no more than that", t, func() {
 		p := newPicker("self", "d1", "r1")
 		home := told("home", "d1", "r1", 20, 0, 0)
--- a/internal/node/gate/failures.go
+++ b/internal/node/gate/failures.go
@@ -10,7 +10,7 @@
 	failWeight = 0.1
 	// failHalfLife is the time in which the share halves without results, so that a
 	// target that was avoided is tried again.
-	failHalfLife = 1500 * time.Millisecond
+	failHalfLife = 3 * time.Second
 )
 
 // failures is the running share of requests that failed.
--- a/internal/quota/pool/pool.go
+++ b/internal/quota/pool/pool.go
@@ -41,7 +41,7 @@
 	demandWindow = 500 * time.Millisecond
 	// firstLevel is the part of the burst that a new keeper starts with; its
 	// predecessor may have spent the rest.
-	firstLevel = 0.25
+	firstLevel = 0.4
 	// reportLife is how long a node's reported demand counts.
 	reportLife = 2 * time.Second
 	// maxRetryAfter bounds the time a refused caller is told.
