--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -38,9 +38,12 @@
 	tickPeriod = 100 * time.Millisecond
 	// trimPeriod is how often idle connections are looked through.
 	trimPeriod = 2 * time.Second
-	// steadyLeave is how long a leaving node still takes requests, so that callers
-	// and other nodes have noticed.
-	steadyLeave = 2300 * time.Millisecond
+	// steadyLeave is how long a leaving node still works as before, while the callers
+	// on its VM notice that it is not ready: they ask once a second and go after two
+	// misses. Its target stays in use meanwhile.
+	steadyLeave = 2100 * time.Millisecond
+	// settleLeave is how long the other nodes get to stop sending calls.
+	settleLeave = 300 * time.Millisecond
 	// leaveReserve is the part of the grace time left for closing.
 	leaveReserve = 1 * time.Second
 	// pendingPeriod is how often a leaving node looks whether requests are pending.
@@ -358,35 +361,34 @@
 	a.links.Trim(a.trimmed, live)
 }
 
-// Leave stops taking new work, finishes what runs, and returns when nothing is
-// pending and nothing more is read, or the grace time is nearly over.
+// Leave lets the callers on the VM go, then the other nodes, finishes what runs,
+// and returns when nothing is pending and nothing more is read, or the grace time
+// is nearly over.
 func (a *Agent) Leave() {
 	began := time.Now()
 	end := began.Add(a.place.Grace - leaveReserve)
 	a.docket.leaving.Store(true)
+	a.callers.Drain()
+	time.Sleep(steadyLeave)
 	a.gate.Leave()
 	a.peers.Update(timer.Now(), true, func(n *peers.Node) { n.Leaving = true })
-	a.callers.Drain()
 	a.calls.Drain()
-	for time.Now().Before(end) {
-		quiet := a.callers.Pending() == 0 && a.calls.Pending() == 0
-		if quiet && time.Since(began) >= steadyLeave {
-			break
-		}
-		time.Sleep(pendingPeriod)
+	time.Sleep(settleLeave)
+	for _, s := range []*inlet.Server{a.callers, a.calls} {
+		waitFor(end, func() bool { return a.callers.Pending()+a.calls.Pending() == 0 })
+		s.Quiesce()
 	}
-	a.callers.Quiesce()
-	for time.Now().Before(end) && a.callers.Pending() > 0 {
-		time.Sleep(pendingPeriod)
+	waitFor(end, func() bool { return a.callers.Pending()+a.calls.Pending() == 0 })
+	if pending := a.callers.Pending() + a.calls.Pending(); pending > 0 {
+		a.log.Warn().Int("pending", pending).Msg("grace time is over with requests pending")
 	}
-	a.calls.Quiesce()
-	for time.Now().Before(end) && a.calls.Pending() > 0 {
+}
+
+// waitFor waits until a condition holds or a time has come.
+func waitFor(end time.Time, f func() bool) {
+	for time.Now().Before(end) && !f() {
 		time.Sleep(pendingPeriod)
 	}
-	if a.callers.Pending()+a.calls.Pending() == 0 {
-		return
-	}
-	a.log.Warn().Int("callers", a.callers.Pending()).Int("calls", a.calls.Pending()).Msg("grace time is over with requests pending")
 }
 
 // fleet shows the other nodes to the watcher.
