Calls between nodes travel in frames with compressed headers

Change: pipe/frame, HPACK tables for each connection, one exchange at a time; the echo of the attempt is checked at the gate and not carried back; a leaving node says that it reads no more, so a crossing request is known not to have run.

--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -28,6 +28,7 @@
 	"fuchsiapier/internal/node/remote"
 	"fuchsiapier/internal/node/stats"
 	"fuchsiapier/internal/node/watch"
+	"fuchsiapier/internal/pipe/frame"
 	"fuchsiapier/internal/pipe/inlet"
 	"fuchsiapier/internal/pipe/msg"
 	"fuchsiapier/internal/quota/pool"
@@ -77,7 +78,7 @@
 	entry   *entry.Entry
 	tokens  *pool.Pool
 	callers *inlet.Server
-	calls   *inlet.Server
+	calls   *frame.Server
 	docket  *docket
 	graph   *graph.Counter
 	repeats *retry.Budget
@@ -237,7 +238,7 @@
 	}
 	a.tree.Own(stop)
 	receiver := remote.NewReceiver(a.gate, a.dialect.Names, a.watcher.Raw)
-	a.calls, stop, err = inlet.New(a.place.Gate, receiver.Handle, inlet.WithLog(a.log))
+	a.calls, stop, err = frame.Serve(a.place.Gate, receiver.Handle, a.log, a.dialect.Names.Attempt, a.dialect.Names.Proof)
 	if err != nil {
 		return err
 	}
@@ -342,7 +343,7 @@
 }
 
 func (a *Agent) peerChanged(c peers.Change) {
-	a.log.Info().Str("node", c.Node.Name).Str("event", c.Event).Str("domain", c.Node.Domain).
+	a.log.Info().Str("peer", c.Node.Name).Str("event", c.Event).Str("domain", c.Node.Domain).
 		Str("service", c.Node.Service).Int64("silence-ms", c.Silence.Milliseconds()).Msg("view of a node changed")
 }
 
@@ -372,13 +373,13 @@
 	time.Sleep(steadyLeave)
 	a.gate.Leave()
 	a.peers.Update(timer.Now(), true, func(n *peers.Node) { n.Leaving = true })
-	a.calls.Drain()
 	time.Sleep(settleLeave)
-	for _, s := range []*inlet.Server{a.callers, a.calls} {
-		waitFor(end, func() bool { return a.callers.Pending()+a.calls.Pending() == 0 })
-		s.Quiesce()
-	}
-	waitFor(end, func() bool { return a.callers.Pending()+a.calls.Pending() == 0 })
+	idle := func() bool { return a.callers.Pending()+a.calls.Pending() == 0 }
+	waitFor(end, idle)
+	a.callers.Quiesce()
+	waitFor(end, idle)
+	a.calls.Quiesce()
+	waitFor(end, idle)
 	if pending := a.callers.Pending() + a.calls.Pending(); pending > 0 {
 		a.log.Warn().Int("pending", pending).Msg("grace time is over with requests pending")
 	}
--- a/internal/node/call/call.go
+++ b/internal/node/call/call.go
@@ -27,10 +27,10 @@
 type Call struct {
 	Attempt string
 	Service string
-	// Head is the request line with the fields that every target gets.
-	Head []byte
-	// Request has the method and the body.
+	// Request is the caller's request; its fields are those to forward.
 	Request *msg.Request
+	// Extra are the header lines that the entry adds.
+	Extra []byte
 	// Deadline ends the time in which an answer is of use.
 	Deadline time.Time
 	// Patience bounds how long the request may wait for a slot.
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -243,11 +243,10 @@
 func (e *Entry) newCall(q *request) *call.Call {
 	in := q.in
 	in.Fields = e.filter.RequestFields(in.Header)
-	head := in.AppendHead(make([]byte, 0, 512))
-	head = msg.AppendField(head, e.names.Caller, e.service())
+	extra := msg.AppendField(make([]byte, 0, 128), e.names.Caller, e.service())
 	priority := q.route.Priority
 	if q.workspace != nil {
-		head = msg.AppendField(head, e.names.Workspace, q.workspace.Name)
+		extra = msg.AppendField(extra, e.names.Workspace, q.workspace.Name)
 		if q.workspace.HasPriority {
 			priority = q.workspace.Priority
 		}
@@ -255,8 +254,8 @@
 	return &call.Call{
 		Attempt:    q.attempt,
 		Service:    q.service,
-		Head:       head,
 		Request:    &in.Request,
+		Extra:      extra,
 		Deadline:   q.deadline(),
 		Priority:   priority,
 		Nested:     q.workspace == nil,
--- a/internal/node/entry/entry_test.go
+++ b/internal/node/entry/entry_test.go
@@ -123,7 +123,7 @@
 func (w *world) play(name string, c *call.Call) call.Result {
 	w.mu.Lock()
 	w.sent = append(w.sent, name)
-	w.heads = append(w.heads, string(c.Head))
+	w.heads = append(w.heads, string(c.Request.AppendHead(nil))+string(c.Extra))
 	script := w.scripts[name]
 	w.mu.Unlock()
 	if script == nil {
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -33,6 +33,8 @@
 	answerGrace = 150 * time.Millisecond
 	// unknownSlots is assumed of a target that has not announced itself yet.
 	unknownSlots = 8
+	// headRoom is what the header of most requests needs, in bytes.
+	headRoom = 768
 	// tombstones bounds the remembered IDs of targets that have left.
 	tombstones = 64
 )
@@ -492,8 +494,9 @@
 // encode adds what only this target gets.
 func (g *Gate) encode(c *call.Call, target Target, left time.Duration) []byte {
 	millis := max((left - sendMargin).Milliseconds(), 1)
-	out := make([]byte, 0, len(c.Head)+len(c.Request.Body)+128)
-	out = append(out, c.Head...)
+	out := make([]byte, 0, headRoom+len(c.Request.Body))
+	out = c.Request.AppendHead(out)
+	out = append(out, c.Extra...)
 	out = msg.AppendField(out, g.names.Deadline, strconv.FormatInt(millis, 10))
 	if target.ID != "" {
 		out = msg.AppendField(out, g.names.ExpectTarget, target.ID)
--- a/internal/node/gate/gate_test.go
+++ b/internal/node/gate/gate_test.go
@@ -133,9 +133,11 @@
 	return &call.Call{
 		Attempt: id,
 		Service: "quota",
-		Head:    []byte("GET / HTTP/1.1\r\nHost: h\r\nX-Id: " + id + "\r\n"),
 		Request: &msg.Request{
 			Method: "GET",
+			URI:    "/",
+			Host:   "h",
+			Fields: []byte("X-Id: " + id + "\r\n"),
 		},
 		Deadline:   time.Now().Add(patience),
 		Patience:   patience,
--- a/internal/node/remote/remote.go
+++ b/internal/node/remote/remote.go
@@ -1,5 +1,5 @@
-// Package remote carries calls between nodes: as HTTP/1.1 requests over kept
-// connections, raw, with one more field for what the gate must know.
+// Package remote carries calls between nodes, raw, with one more field for what
+// the gate must know.
 package remote
 
 import (
@@ -12,7 +12,7 @@
 
 	"fuchsiapier/internal/mesh/peers"
 	"fuchsiapier/internal/node/call"
-	"fuchsiapier/internal/pipe/inlet"
+	"fuchsiapier/internal/pipe/frame"
 	"fuchsiapier/internal/pipe/msg"
 	"fuchsiapier/internal/pipe/outlet"
 )
@@ -35,9 +35,8 @@
 type Links struct {
 	self    peers.Node
 	attempt string
-	filter  msg.Filter
 	mu      sync.Mutex
-	outlets map[string]*outlet.Outlet
+	clients map[string]*frame.Client
 }
 
 // New returns links from a node, and their clean-up.
@@ -45,36 +44,31 @@
 	l := &Links{
 		self:    self,
 		attempt: names.Attempt,
-		filter:  msg.NewFilter(call.FieldLoad, call.FieldRefused),
-		outlets: map[string]*outlet.Outlet{},
+		clients: map[string]*frame.Client{},
 	}
 	return l, l.close
 }
 
-func (l *Links) outlet(address string) *outlet.Outlet {
+func (l *Links) client(address string) *frame.Client {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	o, ok := l.outlets[address]
+	c, ok := l.clients[address]
 	if !ok {
-		o, _ = outlet.New(address,
-			outlet.WithDialTimeout(dialTimeout),
-			outlet.WithAttemptHeader(l.attempt),
-			outlet.WithFilter(l.filter),
-		)
-		l.outlets[address] = o
+		c = frame.NewClient(address, dialTimeout, l.attempt, call.FieldCall)
+		l.clients[address] = c
 	}
-	return o
+	return c
 }
 
 // Trim closes idle connections and forgets nodes that are not named.
 func (l *Links) Trim(now time.Time, live map[string]bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for address, o := range l.outlets {
-		o.Trim(now)
+	for address, c := range l.clients {
+		c.Trim(now)
 		if !live[address] {
-			o.Close()
-			delete(l.outlets, address)
+			c.Close()
+			delete(l.clients, address)
 		}
 	}
 }
@@ -94,14 +88,11 @@
 func (l *Links) Send(ctx context.Context, to peers.Node, c *call.Call) call.Result {
 	sent := *c
 	sent.Deadline = c.Deadline.Add(-l.margin(&to))
-	encoded := make([]byte, 0, len(c.Head)+len(c.Request.Body)+128)
-	encoded = append(encoded, c.Head...)
-	encoded = msg.AppendField(encoded, call.FieldCall, sent.EncodeField(time.Now()))
-	encoded = c.Request.AppendBody(encoded)
-	answer, err := l.outlet(to.GateAddress()).Do(ctx, encoded, c.Request.Method, c.Attempt)
+	extra := msg.AppendField(c.Extra, call.FieldCall, sent.EncodeField(time.Now()))
+	answer, err := l.client(to.GateAddress()).Do(ctx, c.Request, extra)
 	switch {
 	case err == nil:
-		return read(answer)
+		return l.read(answer, c.Attempt)
 	case errors.Is(err, outlet.ErrRefused), errors.Is(err, outlet.ErrNotSent):
 		return call.Result{
 			Outcome: call.NotRun,
@@ -122,17 +113,21 @@
 }
 
 // read tells the gate's own answers from those of its target.
-func read(a *outlet.Answer) call.Result {
+func (l *Links) read(a *frame.Answer, attempt string) call.Result {
 	r := call.Result{}
-	r.Wait, r.Queued = call.DecodeLoad(string(a.Header.Peek(call.FieldLoad)))
-	refused := a.Header.Peek(call.FieldRefused)
-	if len(refused) == 0 {
+	r.Wait, r.Queued = call.DecodeLoad(a.Header.Get(call.FieldLoad))
+	refused := a.Header.Get(call.FieldRefused)
+	if refused == "" {
 		r.Outcome = call.Answered
-		r.Answer = &a.Response
+		r.Answer = &msg.Response{
+			Status: a.Status,
+			Fields: msg.AppendField(a.Header.Lines(call.FieldLoad), l.attempt, attempt),
+			Body:   a.Body,
+		}
 		r.Reached = true
 		return r
 	}
-	r.Reason, r.RetryAfter = call.DecodeRefused(string(refused))
+	r.Reason, r.RetryAfter = call.DecodeRefused(refused)
 	r.Outcome = call.NotRun
 	r.Reached = r.Reason == call.Shed || r.Reason == call.Moved
 	if a.Status != fasthttp.StatusServiceUnavailable {
@@ -148,8 +143,11 @@
 func (l *Links) FetchRules(from peers.Node) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), RulesTimeout)
 	defer cancel()
-	request := []byte("GET " + RulesPath + " HTTP/1.1\r\nHost: " + from.GateAddress() + "\r\n\r\n")
-	answer, err := l.outlet(from.GateAddress()).Do(ctx, request, fasthttp.MethodGet, "")
+	request := &msg.Request{
+		Method: fasthttp.MethodGet,
+		URI:    RulesPath,
+	}
+	answer, err := l.client(from.GateAddress()).Do(ctx, request, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -169,39 +167,35 @@
 	gate  Gate
 	names msg.Names
 	rules func() []byte
-	// filter drops what the gate sets anew.
-	filter msg.Filter
 }
 
 // NewReceiver returns a receiver for a gate; rules returns the record of the
 // configuration in force, nil before the first.
 func NewReceiver(gate Gate, names msg.Names, rules func() []byte) *Receiver {
 	return &Receiver{
-		gate:   gate,
-		names:  names,
-		rules:  rules,
-		filter: msg.NewFilter(call.FieldCall, names.Deadline, names.ExpectTarget),
+		gate:  gate,
+		names: names,
+		rules: rules,
 	}
 }
 
 // Handle answers one call of another node.
-func (r *Receiver) Handle(ctx context.Context, in *inlet.Inbound) *msg.Response {
-	field := string(in.Header.Peek(call.FieldCall))
+func (r *Receiver) Handle(ctx context.Context, in *frame.Request) *msg.Response {
+	field := in.Header.Get(call.FieldCall)
 	if field == "" {
 		return r.handRules(in)
 	}
-	c, err := call.DecodeField(field, in.Arrived)
+	c, err := call.DecodeField(field, time.Now())
 	if err != nil {
 		return msg.Plain(fasthttp.StatusBadRequest, err.Error())
 	}
-	in.Fields = r.filter.RequestFields(in.Header)
-	c.Attempt = string(in.Header.Peek(r.names.Attempt))
+	in.Fields = in.Header.Lines(call.FieldCall)
+	c.Attempt = in.Header.Get(r.names.Attempt)
 	c.Request = &in.Request
-	c.Head = in.AppendHead(make([]byte, 0, 512))
-	return encode(r.gate.Serve(ctx, c), c.Attempt, r.names.Attempt)
+	return r.encode(r.gate.Serve(ctx, c))
 }
 
-func (r *Receiver) handRules(in *inlet.Inbound) *msg.Response {
+func (r *Receiver) handRules(in *frame.Request) *msg.Response {
 	raw := r.rules()
 	if in.URI != RulesPath || raw == nil {
 		return msg.Plain(fasthttp.StatusNotFound, "nothing here")
@@ -212,29 +206,29 @@
 	}
 }
 
-// encode turns a result into an answer that the sending node can tell apart.
-func encode(r call.Result, attempt, attemptField string) *msg.Response {
+// encode turns a result into an answer that the sending node can tell apart. The
+// target's echo of the attempt is checked here and left out.
+func (r *Receiver) encode(result call.Result) *msg.Response {
 	var out *msg.Response
-	switch r.Outcome {
+	switch result.Outcome {
 	case call.Answered:
-		out = r.Answer
+		out = result.Answer.Without(r.names.Attempt)
 	case call.Gone:
 		return nil
 	case call.NotRun:
-		out = own(fasthttp.StatusServiceUnavailable, r, attempt, attemptField)
+		out = own(fasthttp.StatusServiceUnavailable, result)
 	default:
-		out = own(fasthttp.StatusBadGateway, r, attempt, attemptField)
+		out = own(fasthttp.StatusBadGateway, result)
 	}
-	if load := call.EncodeLoad(r); load != "" {
+	if load := call.EncodeLoad(result); load != "" {
 		out = out.With(call.FieldLoad, load)
 	}
 	return out
 }
 
-func own(status int, r call.Result, attempt, attemptField string) *msg.Response {
-	out := &msg.Response{
+func own(status int, r call.Result) *msg.Response {
+	return &msg.Response{
 		Status: status,
 		Fields: msg.AppendField(nil, call.FieldRefused, call.EncodeRefused(r)),
 	}
-	return out.With(attemptField, attempt)
 }
--- /dev/null
+++ b/internal/pipe/frame/frame_test.go
@@ -0,0 +1,192 @@
+package frame
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"fuchsiapier/internal/pipe/msg"
+	"fuchsiapier/internal/pipe/outlet"
+)
+
+const patience = 10 * time.Second
+
+func request(id string) *msg.Request {
+	return &msg.Request{
+		Method:  "POST",
+		URI:     "/tide/" + id + "?q=1",
+		Host:    "h.example",
+		Fields:  []byte("User-Agent: sdk-client/1.9.3\r\nX-Id: " + id + "\r\n"),
+		Body:    []byte("body " + id),
+		HasBody: true,
+	}
+}
+
+func echo(_ context.Context, r *Request) *msg.Response {
+	return &msg.Response{
+		Status: 201,
+		Fields: []byte("X-Proof: p" + r.Header.Get("x-id") + "\r\n"),
+		Body:   append([]byte(r.Method+" "+r.URI+" "+r.Host+" "), r.Body...),
+	}
+}
+
+func start(t *testing.T, h Handler) (*Server, *Client) {
+	t.Helper()
+	s, stop, err := Serve("127.0.0.1:0", h, zerolog.Nop(), "X-Id")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	c := NewClient(s.Address(), time.Second, "X-Id")
+	t.Cleanup(c.Close)
+	return s, c
+}
+
+func do(c *Client, id string) (*Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return c.Do(ctx, request(id), []byte("Fp-Call: quota\r\n"))
+}
+
+func eventually(f func() bool) bool {
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if f() {
+			return true
+		}
+	}
+	return false
+}
+
+func TestExchange(t *testing.T) {
+	Convey("Requests and answers pass unchanged, many on one connection", t, func() {
+		_, c := start(t, echo)
+		for _, id := range []string{"1", "2", "3"} {
+			a, err := do(c, id)
+			So(err, ShouldBeNil)
+			So(a.Status, ShouldEqual, 201)
+			So(string(a.Body), ShouldEqual, "POST /tide/"+id+"?q=1 h.example body "+id)
+			So(string(a.Header.Lines()), ShouldEqual, "X-Proof: p"+id+"\r\n")
+		}
+		So(c.Dials(), ShouldEqual, 1)
+	})
+	Convey("Fields of the nodes themselves are kept apart", t, func() {
+		_, c := start(t, func(_ context.Context, r *Request) *msg.Response {
+			return msg.Plain(200, r.Header.Get("Fp-Call")+"|"+string(r.Header.Lines("Fp-Call")))
+		})
+		a, err := do(c, "1")
+		So(err, ShouldBeNil)
+		So(string(a.Body), ShouldEqual, "quota|User-Agent: sdk-client/1.9.3\r\nX-Id: 1\r\n\n")
+	})
+}
+
+func TestRepeatedFieldsCostLittle(t *testing.T) {
+	Convey("Bytes between domains: a short call is less than half of its text form", t, func() {
+		c := newCodec("X-Id")
+		fields := func(id string) Fields {
+			r := request(id)
+			r.Body, r.HasBody = nil, false
+			return requestFields(r, []byte("X-Fuchsia-Caller-Service: landings\r\n"))
+		}
+		first, err := c.append(fields("6366cff5387c3798"), nil)
+		So(err, ShouldBeNil)
+		second, err := c.append(fields("7d0f6b9a55588a49"), nil)
+		So(err, ShouldBeNil)
+		text := request("7d0f6b9a55588a49").AppendHead(nil)
+		So(len(second), ShouldBeLessThan, len(text)/2)
+		So(len(second), ShouldBeLessThan, len(first))
+	})
+}
+
+func TestBreakingOff(t *testing.T) {
+	Convey("A node that breaks off ends the context of its request", t, func() {
+		begun, ended := make(chan struct{}), make(chan struct{})
+		_, c := start(t, func(ctx context.Context, _ *Request) *msg.Response {
+			close(begun)
+			<-ctx.Done()
+			close(ended)
+			return nil
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		failed := make(chan error, 1)
+		go func() {
+			_, err := c.Do(ctx, request("1"), nil)
+			failed <- err
+		}()
+		<-begun
+		cancel()
+		So(errors.Is(<-failed, outlet.ErrStopped), ShouldBeTrue)
+		So(eventually(func() bool {
+			select {
+			case <-ended:
+				return true
+			default:
+				return false
+			}
+		}), ShouldBeTrue)
+	})
+	Convey("A nil answer is a lost one", t, func() {
+		_, c := start(t, func(context.Context, *Request) *msg.Response { return nil })
+		_, err := do(c, "1")
+		So(errors.Is(err, outlet.ErrLost), ShouldBeTrue)
+	})
+}
+
+func TestLeavingNodeAnswersWhatItRead(t *testing.T) {
+	Convey("Restarts under load: each request is answered, or known not to have been read", t, func() {
+		var handled, answered, lost atomic.Int64
+		s, c := start(t, func(ctx context.Context, r *Request) *msg.Response {
+			handled.Add(1)
+			return echo(ctx, r)
+		})
+		var senders sync.WaitGroup
+		for range 10 {
+			senders.Go(func() {
+				for {
+					_, err := do(c, "1")
+					switch {
+					case err == nil:
+						answered.Add(1)
+						continue
+					case errors.Is(err, outlet.ErrLost):
+						lost.Add(1)
+					}
+					return
+				}
+			})
+		}
+		So(eventually(func() bool { return answered.Load() > 500 }), ShouldBeTrue)
+		s.Quiesce()
+		senders.Wait()
+		So(eventually(func() bool { return s.Pending() == 0 }), ShouldBeTrue)
+		So(answered.Load(), ShouldEqual, handled.Load())
+	})
+}
+
+func FuzzRead(f *testing.F) {
+	whole, err := newCodec().append(requestFields(request("1"), nil), []byte("body"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole)
+	f.Add([]byte{0, 0, 0, 0})
+	f.Add([]byte{0, 0, 0, 2, 0, 9})
+	f.Add([]byte(strings.Repeat("\xff", 16)))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		fields, body, err := newCodec().read(bytes.NewReader(data))
+		if err != nil {
+			return
+		}
+		if r, err := decodeRequest(fields, body); err == nil && (r.Method == "" || r.URI == "") {
+			t.Fatal("request without a method or path")
+		}
+		_, _ = decodeAnswer(fields, body)
+	})
+}
--- a/internal/pipe/msg/msg.go
+++ b/internal/pipe/msg/msg.go
@@ -187,6 +187,19 @@
 	return &copied
 }
 
+// Without returns a copy of the answer without the lines of a header field.
+func (r *Response) Without(name string) *Response {
+	copied := *r
+	copied.Fields = make([]byte, 0, len(r.Fields))
+	for line := range bytes.SplitAfterSeq(r.Fields, []byte("\r\n")) {
+		field, _, _ := bytes.Cut(line, []byte(":"))
+		if !strings.EqualFold(string(field), name) {
+			copied.Fields = append(copied.Fields, line...)
+		}
+	}
+	return &copied
+}
+
 // Plain returns an answer of the node's own with a line of text.
 func Plain(status int, text string) *Response {
 	return &Response{
--- a/internal/pipe/outlet/outlet.go
+++ b/internal/pipe/outlet/outlet.go
@@ -49,12 +49,15 @@
 	ErrStopped = errors.New("stopped waiting")
 )
 
-type conn struct {
+// Conn is a kept connection. It carries one exchange at a time.
+type Conn struct {
 	net.Conn
-	r *bufio.Reader
-	// freshUntil ends the time in which the peer keeps the idle connection.
-	freshUntil time.Time
-	reused     bool
+	// Reader holds what was received and not read yet.
+	Reader *bufio.Reader
+	// State is what the protocol spoken on the connection remembers between exchanges.
+	State any
+	// FreshUntil ends the time in which the peer keeps the idle connection.
+	FreshUntil time.Time
 }
 
 // Outlet is safe for concurrent use.
@@ -64,7 +67,7 @@
 	attempt     string
 	filter      msg.Filter
 	mu          sync.Mutex
-	idle        []*conn
+	idle        []*Conn
 	closed      bool
 	dials       int
 }
@@ -126,30 +129,45 @@
 // Do sends an encoded request and reads its whole answer. The method decides
 // whether the answer has a body; attempt, where not empty, must be echoed.
 func (o *Outlet) Do(ctx context.Context, encoded []byte, method, attempt string) (*Answer, error) {
-	c, err := o.get(ctx)
+	var answer *Answer
+	err := o.Exchange(ctx, func(c *Conn) (keep bool, err error) {
+		answer, keep, err = o.exchange(c, encoded, method, attempt)
+		return keep, err
+	})
 	if err != nil {
 		return nil, err
 	}
+	return answer, nil
+}
+
+// Exchange runs f on a connection, which is kept afterwards where f says so. The
+// end of the context breaks the exchange off. Errors of f are handed on; those
+// that come before f say that nothing was sent.
+func (o *Outlet) Exchange(ctx context.Context, f func(c *Conn) (keep bool, err error)) error {
+	c, err := o.get(ctx)
+	if err != nil {
+		return err
+	}
 	stop := context.AfterFunc(ctx, func() {
 		_ = c.Close()
 	})
-	answer, keep, err := o.exchange(c, encoded, method, attempt)
+	keep, err := f(c)
 	if !stop() {
 		_ = c.Close()
 		if err == nil {
-			return answer, nil
+			return nil
 		}
-		return nil, errors.Join(ErrStopped, ctx.Err())
+		return errors.Join(ErrStopped, ctx.Err())
 	}
 	if err != nil || !keep {
 		_ = c.Close()
-		return answer, err
+		return err
 	}
 	o.put(c)
-	return answer, nil
+	return nil
 }
 
-func (o *Outlet) exchange(c *conn, encoded []byte, method, attempt string) (answer *Answer, keep bool, err error) {
+func (o *Outlet) exchange(c *Conn, encoded []byte, method, attempt string) (answer *Answer, keep bool, err error) {
 	if _, err := c.Write(encoded); err != nil {
 		return nil, false, errors.Join(ErrLost, err)
 	}
@@ -160,17 +178,17 @@
 		}
 		echoed := string(answer.Header.Peek(o.attempt))
 		if attempt == "" || echoed == attempt {
-			return answer, keep && c.r.Buffered() == 0, nil
+			return answer, keep && c.Reader.Buffered() == 0, nil
 		}
 	}
 	return nil, false, errors.Join(ErrLost, errors.New("answers belong to other requests"))
 }
 
-func (o *Outlet) readAnswer(c *conn, method string) (*Answer, bool, error) {
+func (o *Outlet) readAnswer(c *Conn, method string) (*Answer, bool, error) {
 	h := &fasthttp.ResponseHeader{}
 	h.SetNoDefaultContentType(true)
 	for {
-		if err := h.Read(c.r); err != nil {
+		if err := h.Read(c.Reader); err != nil {
 			return nil, false, err
 		}
 		if h.StatusCode() >= 200 {
@@ -189,13 +207,13 @@
 		a.Bodyless = true
 	} else {
 		var err error
-		if a.Body, err = readBody(c.r, h); err != nil {
+		if a.Body, err = readBody(c.Reader, h); err != nil {
 			return nil, false, err
 		}
 		keep = keep && h.ContentLength() != untilClose
 	}
 	a.Fields = o.filter.ResponseFields(h)
-	c.freshUntil = time.Now().Add(keptFor(h))
+	c.FreshUntil = time.Now().Add(keptFor(h))
 	return a, keep, nil
 }
 
@@ -248,21 +266,20 @@
 	return defaultIdle
 }
 
-func (o *Outlet) get(ctx context.Context) (*conn, error) {
+func (o *Outlet) get(ctx context.Context) (*Conn, error) {
 	for {
 		c := o.pop()
 		if c == nil {
 			return o.dial(ctx)
 		}
-		if time.Now().Before(c.freshUntil) && alive(c) {
-			c.reused = true
+		if time.Now().Before(c.FreshUntil) && alive(c) {
 			return c, nil
 		}
 		_ = c.Close()
 	}
 }
 
-func (o *Outlet) pop() *conn {
+func (o *Outlet) pop() *Conn {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if len(o.idle) == 0 {
@@ -273,7 +290,7 @@
 	return c
 }
 
-func (o *Outlet) dial(ctx context.Context) (*conn, error) {
+func (o *Outlet) dial(ctx context.Context) (*Conn, error) {
 	d := net.Dialer{
 		Timeout: o.dialTimeout,
 		Control: boundUnacknowledged,
@@ -288,9 +305,9 @@
 	o.mu.Lock()
 	o.dials++
 	o.mu.Unlock()
-	return &conn{
-		Conn: c,
-		r:    bufio.NewReaderSize(c, readSize),
+	return &Conn{
+		Conn:   c,
+		Reader: bufio.NewReaderSize(c, readSize),
 	}, nil
 }
 
@@ -306,7 +323,7 @@
 	return errors.Join(cerr, err)
 }
 
-func (o *Outlet) put(c *conn) {
+func (o *Outlet) put(c *Conn) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.closed {
@@ -322,7 +339,7 @@
 	defer o.mu.Unlock()
 	kept := o.idle[:0]
 	for _, c := range o.idle {
-		if now.Before(c.freshUntil) {
+		if now.Before(c.FreshUntil) {
 			kept = append(kept, c)
 			continue
 		}
@@ -344,7 +361,7 @@
 
 // alive reports whether an idle connection has neither ended nor received bytes
 // that nobody asked for.
-func alive(c *conn) bool {
+func alive(c *Conn) bool {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
