Clumps within a workspace's burst pass at one node

Ruled out: lost grants (no fallback lines), the limit itself (rara121 gets 158 to 161 of 160 in 5 s). Change: keepers go on asking until they get nothing; lenders keep 0.2 s.

--- a/internal/quota/pool/pool.go
+++ b/internal/quota/pool/pool.go
@@ -36,7 +36,7 @@
 	// not ask them; bytes between domains are dear.
 	domainDryTime = 1 * time.Second
 	// reserveTime is how much of its domain's demand a keeper keeps from others.
-	reserveTime = 500 * time.Millisecond
+	reserveTime = 200 * time.Millisecond
 	// demandWindow is the time constant of the demand estimates.
 	demandWindow = 500 * time.Millisecond
 	// firstLevel is the part of the burst that a new keeper starts with; its
@@ -284,7 +284,7 @@
 	var grant Grant
 	var err error
 	if keeper == p.self {
-		p.borrow(ctx, a, ask, l)
+		p.borrow(ctx, a, ask)
 		grant = p.give(a, ask, l)
 	} else {
 		asking, cancel := context.WithTimeout(ctx, keeperWait)
@@ -349,7 +349,7 @@
 	if g := p.give(a, ask, l); g.Amount >= 1 || ask.Foreign || p.ring.Keeper() != p.self {
 		return g
 	}
-	p.borrow(ctx, a, ask, l)
+	p.borrow(ctx, a, ask)
 	return p.give(a, ask, l)
 }
 
@@ -395,9 +395,8 @@
 }
 
 // borrow asks the keepers of other domains for what the domain needs soon.
-// Concurrent calls share a round. A domain whose demand alone exceeds the
-// workspace's whole limit asks only once in domainDryTime.
-func (p *Pool) borrow(ctx context.Context, a *account, ask Ask, l Limit) {
+// Concurrent calls share a round.
+func (p *Pool) borrow(ctx context.Context, a *account, ask Ask) {
 	a.mu.Lock()
 	now := p.now()
 	if now < a.domainDry {
@@ -425,8 +424,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.kept.level += got
-	fleetRate := l.Rate * float64(len(p.ring.Keepers())+1)
-	if got < 1 || a.domainDemand(now) > fleetRate {
+	if got < 1 {
 		a.domainDry = p.now().Add(domainDryTime)
 	}
 	a.borrowing = nil
--- a/internal/quota/pool/pool_test.go
+++ b/internal/quota/pool/pool_test.go
@@ -205,6 +205,21 @@
 	})
 }
 
+func TestClumpAtOneNode(t *testing.T) {
+	Convey("Callers repeat at once: a clump at one node within rate and burst passes", t, func() {
+		f := newFleet(Limit{Rate: 34, Burst: 34}, 6, 4)
+		f.play(2, func(string) float64 { return 0.5 })
+		passed := 0
+		for range 24 {
+			f.advance(step)
+			if ok, _ := f.nodes["d3-n2"].pool.Take(context.Background(), "w"); ok {
+				passed++
+			}
+		}
+		So(passed, ShouldBeGreaterThanOrEqualTo, 23)
+	})
+}
+
 func TestUnlimited(t *testing.T) {
 	Convey("A workspace without a limit is never refused", t, func() {
 		f := newFleet(Limit{}, 1, 1)
