--- a/internal/quota/pool/pool.go
+++ b/internal/quota/pool/pool.go
@@ -39,9 +39,12 @@
 	reserveTime = 200 * time.Millisecond
 	// demandWindow is the time constant of the demand estimates.
 	demandWindow = 500 * time.Millisecond
-	// firstLevel is the part of the burst that a new keeper starts with; its
-	// predecessor may have spent the rest.
-	firstLevel = 0.4
+	// firstLevel is the part of the burst that a new keeper starts with. Its
+	// predecessor may have spent it, so a change of keepers lets a burst of one domain
+	// pass twice; after a loss of all nodes the pause has made up for it.
+	firstLevel = 0.8
+	// aloneLevel is the same for a node whose keeper is silent.
+	aloneLevel = 0.25
 	// reportLife is how long a node's reported demand counts.
 	reportLife = 2 * time.Second
 	// maxRetryAfter bounds the time a refused caller is told.
@@ -320,7 +323,7 @@
 // must be held.
 func (a *account) fallBack(now timer.Instant, l Limit, ring Ring) Grant {
 	part := l.times(ring.Alone())
-	a.alone.fill(now, part, firstLevel)
+	a.alone.fill(now, part, aloneLevel)
 	if a.alone.level >= 1 {
 		a.alone.level--
 		return Grant{
