Cut-off nodes are not ready; silent ones are the last choice

Change: a node that hears nobody for 1 s is not ready; beats overdue by 0.7 s make a node the last choice; a whole digest names who is alive; sends between nodes break after 0.5 s (0.9 s between regions) without acknowledgement; hedges after a third of the objective.

--- a/internal/mesh/peers/node.go
+++ b/internal/mesh/peers/node.go
@@ -79,7 +79,9 @@
 	// Call pairs an ask with its grant.
 	Call uint64
 	// Nodes has the sender first, in beats and digests.
-	Nodes  []Node
+	Nodes []Node
+	// Whole says that a digest names every live node of the sender's domain.
+	Whole  bool
 	Ask    *pool.Ask
 	Grant  *pool.Grant
 	Docket []crash.Entry
@@ -107,6 +109,14 @@
 	digestPeriod = 1 * time.Second
 	// minDigestGap bounds how often changes are told to other domains.
 	minDigestGap = 200 * time.Millisecond
+	// suspectAfter is the silence after which a node of the own domain is asked only
+	// if no other can serve: two beats and some delay.
+	suspectAfter = 700 * time.Millisecond
+	// isolatedAfter is the silence of all other nodes after which this one takes
+	// itself for cut off.
+	isolatedAfter = 1 * time.Second
+	// isolatedAlone is the same for a node that is alone in its domain.
+	isolatedAlone = 2500 * time.Millisecond
 	// lostAfter is the silence after which a node of the own domain counts as
 	// lost: four beats.
 	lostAfter = 1200 * time.Millisecond
--- a/internal/mesh/peers/peers.go
+++ b/internal/mesh/peers/peers.go
@@ -45,6 +45,8 @@
 	urgent   bool
 	beatAt   timer.Instant
 	relay    map[string]bool
+	heardAny timer.Instant
+	isolated atomic.Bool
 	calls    map[uint64]chan pool.Grant
 	lastCall uint64
 	view     atomic.Pointer[View]
@@ -55,6 +57,8 @@
 	node  Node
 	heard timer.Instant
 	alive bool
+	// suspect says that beats are overdue.
+	suspect bool
 }
 
 // Option configures Peers.
@@ -172,9 +176,14 @@
 	dirty := false
 	for name, k := range p.others {
 		silence := now.Sub(k.heard)
+		if suspect := k.alive && k.node.Domain == p.self.Domain && silence > suspectAfter; suspect != k.suspect {
+			k.suspect = suspect
+			dirty = true
+		}
 		if k.alive && silence > p.patience(&k.node) {
 			k.alive = false
 			dirty = true
+			p.urgent = true
 			p.note(k.node, "lost", silence)
 		}
 		if limit := forgetTime(k); !k.alive && silence > limit {
@@ -185,6 +194,34 @@
 	if dirty {
 		p.publish()
 	}
+	p.judgeIsolation(now)
+}
+
+// judgeIsolation finds whether this node hears nobody any more; p.mu must be held.
+func (p *Peers) judgeIsolation(now timer.Instant) {
+	limit := isolatedAlone
+	for _, k := range p.others {
+		if k.node.Domain == p.self.Domain && !k.node.Leaving {
+			limit = isolatedAfter
+		}
+	}
+	silence := now.Sub(p.heardAny)
+	isolated := p.heardAny > 0 && len(p.others) > 0 && silence > limit
+	if isolated == p.isolated.Load() {
+		return
+	}
+	p.isolated.Store(isolated)
+	event := "back-in-touch"
+	if isolated {
+		event = "cut-off"
+	}
+	p.note(p.self, event, silence)
+}
+
+// Isolated reports whether this node has heard nobody for a while, though it
+// knows others: it can serve only what its own target can do alone.
+func (p *Peers) Isolated() bool {
+	return p.isolated.Load()
 }
 
 func forgetTime(k *known) time.Duration {
@@ -245,9 +282,10 @@
 func (p *Peers) emit(k kind, nodes []Node, to func(*known) bool) {
 	var parts [][]byte
 	docket := p.docket()
+	whole := len(nodes) <= maxNodes
 	for first := true; first || len(nodes) > 0; first = false {
 		n := min(len(nodes), maxNodes)
-		parts = append(parts, p.encode(k, nodes[:n], docket))
+		parts = append(parts, p.encodePart(k, nodes[:n], docket, whole))
 		nodes = nodes[n:]
 		docket = nil
 	}
@@ -262,10 +300,15 @@
 }
 
 func (p *Peers) encode(k kind, nodes []Node, docket []crash.Entry) []byte {
+	return p.encodePart(k, nodes, docket, false)
+}
+
+func (p *Peers) encodePart(k kind, nodes []Node, docket []crash.Entry, whole bool) []byte {
 	return encode(message{
 		From:   p.self.Name,
 		Kind:   k,
 		Nodes:  nodes,
+		Whole:  whole,
 		Docket: docket,
 	})
 }
--- a/internal/mesh/peers/receive.go
+++ b/internal/mesh/peers/receive.go
@@ -37,6 +37,7 @@
 func (p *Peers) receiveNodes(now timer.Instant, m message) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.heardAny = now
 	dirty := false
 	best := Node{}
 	for i := range m.Nodes {
@@ -52,6 +53,9 @@
 			best = *n
 		}
 	}
+	if m.Kind == kindDigest && m.Whole {
+		dirty = p.prune(now, m.Nodes) || dirty
+	}
 	if m.Kind == kindDigest {
 		for i := range m.Nodes {
 			p.relay[m.Nodes[i].Name] = true
@@ -65,6 +69,31 @@
 	}
 }
 
+// prune takes nodes for lost that a whole digest of their domain does not name.
+// p.mu must be held.
+func (p *Peers) prune(now timer.Instant, nodes []Node) bool {
+	if len(nodes) == 0 || nodes[0].Domain == p.self.Domain {
+		return false
+	}
+	named := map[string]bool{}
+	for i := range nodes {
+		named[nodes[i].Name] = true
+	}
+	dirty := false
+	for name, k := range p.others {
+		if k.alive && k.node.Domain == nodes[0].Domain && !named[name] && now.Sub(k.heard) > pruneAfter {
+			k.alive = false
+			dirty = true
+			p.note(k.node, "lost", now.Sub(k.heard))
+		}
+	}
+	return dirty
+}
+
+// pruneAfter is the least silence of a node that a digest does not name: another
+// node of its domain may have told of it a moment ago.
+const pruneAfter = 500 * time.Millisecond
+
 // merge takes what is said of a node and reports whether the view changes.
 // p.mu must be held.
 func (p *Peers) merge(now timer.Instant, n *Node, direct bool) bool {
@@ -88,6 +117,10 @@
 		k.node = *n
 	}
 	k.heard = now
+	if k.suspect {
+		k.suspect = false
+		changed = true
+	}
 	if !k.alive && !n.Leaving {
 		k.alive = true
 		changed = true
--- a/internal/mesh/peers/view.go
+++ b/internal/mesh/peers/view.go
@@ -14,6 +14,7 @@
 	attached int
 	keeper   string
 	keepers  []string
+	suspects map[string]bool
 }
 
 // View returns the current picture.
@@ -29,6 +30,7 @@
 		domain:   1,
 		attached: 1,
 		keeper:   self.Name,
+		suspects: map[string]bool{},
 	}
 	v.add(self)
 	for _, n := range others {
@@ -50,6 +52,9 @@
 		if !k.alive {
 			continue
 		}
+		if k.suspect {
+			v.suspects[name] = true
+		}
 		v.add(k.node)
 		switch {
 		case !own:
@@ -76,6 +81,11 @@
 	return v.nodes
 }
 
+// Suspect reports whether a node's beats are overdue.
+func (v *View) Suspect(node string) bool {
+	return v.suspects[node]
+}
+
 // Targets returns the nodes that take calls for a service.
 func (v *View) Targets(service string) []Node {
 	return v.byTarget[service]
--- a/internal/node/agent/http.go
+++ b/internal/node/agent/http.go
@@ -47,13 +47,14 @@
 	return nil
 }
 
-// handleReady says whether callers on the VM may send requests here.
+// handleReady says whether callers on the VM may send requests here. A node that
+// is cut off sends them away: it could serve only what its own target does alone.
 func (a *Agent) handleReady(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != a.dialect.PathReady {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	if a.docket.leaving.Load() || a.watcher.Current() == nil {
+	if a.docket.leaving.Load() || a.watcher.Current() == nil || a.peers.Isolated() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
--- a/internal/node/entry/dispatch.go
+++ b/internal/node/entry/dispatch.go
@@ -22,7 +22,9 @@
 	maxRefusals = 5
 	// hedgeFactor is how many times its mean a node may take before a request that
 	// may be repeated goes to a second one.
-	hedgeFactor = 4
+	hedgeFactor = 3
+	// hedgePart is the part of a route's objective that is left to the first send.
+	hedgePart = 3
 	// minHedge is the least time before a second send.
 	minHedge = 150 * time.Millisecond
 	// answerGrace is how long after the deadline a gate's last word is awaited, so
@@ -128,10 +130,10 @@
 	name := q.tried[len(q.tried)-1]
 	for _, n := range d.entry.fleet.View().Targets(q.service) {
 		if n.Name == name {
-			return max(minHedge, q.route.Objective/2, hedgeFactor*d.entry.picker.mean(&n))
+			return max(minHedge, q.route.Objective/hedgePart, hedgeFactor*d.entry.picker.mean(&n))
 		}
 	}
-	return max(minHedge, q.route.Objective/2)
+	return max(minHedge, q.route.Objective/hedgePart)
 }
 
 // mayGoOn decides whether another node is asked after what came back so far.
@@ -161,15 +163,16 @@
 // goes once more to the best of them and waits there.
 func (d *dispatcher) launch(ctx context.Context) bool {
 	e, q := d.entry, d.request
-	nodes := e.fleet.View().Targets(q.service)
+	view := e.fleet.View()
+	nodes := view.Targets(q.service)
 	skip := func(name string) bool { return d.asked[name] }
-	node, ok := e.picker.best(time.Now(), nodes, d.want(), skip)
+	node, ok := e.picker.best(time.Now(), nodes, d.want(), view.Suspect, skip)
 	if !ok || d.refusals >= maxRefusals {
 		if d.patient || d.refusals == 0 || d.reached > 0 {
 			return false
 		}
 		d.patient = true
-		node, ok = e.picker.best(time.Now(), nodes, d.want(), d.unusable)
+		node, ok = e.picker.best(time.Now(), nodes, d.want(), view.Suspect, d.unusable)
 		if !ok {
 			return false
 		}
--- a/internal/node/entry/picker.go
+++ b/internal/node/entry/picker.go
@@ -28,6 +28,8 @@
 	smoothing = 0.2
 	// loadLife is how long what a node said of its wait counts.
 	loadLife = 700 * time.Millisecond
+	// lastChoice is added for a node that is asked only if no other can serve.
+	lastChoice = time.Minute
 	// failTime is how long a node that could not be reached is a last choice.
 	failTime = 1 * time.Second
 	// failWeight is the weight of one more answer in the running share of failures.
@@ -118,7 +120,7 @@
 
 // best returns the node with the least expected time that skip lets through,
 // and false where there is none.
-func (p *picker) best(now time.Time, nodes []peers.Node, w want, skip func(name string) bool) (peers.Node, bool) {
+func (p *picker) best(now time.Time, nodes []peers.Node, w want, suspect, skip func(name string) bool) (peers.Node, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	usual := usualFailures(nodes)
@@ -129,6 +131,9 @@
 			continue
 		}
 		cost := p.cost(now, &nodes[i], w, usual)
+		if suspect(nodes[i].Name) {
+			cost += lastChoice
+		}
 		if best < 0 || cost < least {
 			best, least = i, cost
 		}
@@ -178,7 +183,7 @@
 	share := max(s.worstShare(now, n)-usual, 0)
 	cost += time.Duration(share * failCost * float64(w.objective))
 	if now.Before(s.deadTill) {
-		cost += time.Minute
+		cost += lastChoice
 	}
 	return cost
 }
--- a/internal/node/entry/picker_test.go
+++ b/internal/node/entry/picker_test.go
@@ -17,7 +17,7 @@
 	bytes:     6000,
 }
 
-func everyone(string) bool { return false }
+func nobody(string) bool { return false }
 
 // told is a node whose gate tells the given load.
 func told(name, domain, region string, service, wait uint16, failPercent uint8) peers.Node {
@@ -29,7 +29,7 @@
 }
 
 func pick(p *picker, nodes ...peers.Node) string {
-	n, _ := p.best(time.Now(), nodes, wantOfTests, everyone)
+	n, _ := p.best(time.Now(), nodes, wantOfTests, nobody, nobody)
 	return n.Name
 }
 
@@ -57,7 +57,7 @@
 			objective: 300 * time.Millisecond,
 			bytes:     600,
 		}
-		n, _ := p.best(time.Now(), nodes, small, everyone)
+		n, _ := p.best(time.Now(), nodes, small, nobody, nobody)
 		So(n.Name, ShouldEqual, "near")
 	})
 }
@@ -101,6 +101,18 @@
 	})
 }
 
+func TestSilentNodeIsTheLastChoice(t *testing.T) {
+	Convey("Nodes cut off or frozen: one whose beats are overdue is asked only if no other can serve", t, func() {
+		p := newPicker("self", "d1", "r1")
+		home, far := told("home", "d1", "r1", 20, 0, 0), told("far", "d3", "r2", 20, 300, 0)
+		silent := func(name string) bool { return name == "home" }
+		n, _ := p.best(time.Now(), []peers.Node{home, far}, wantOfTests, silent, nobody)
+		So(n.Name, ShouldEqual, "far")
+		n, _ = p.best(time.Now(), []peers.Node{home}, wantOfTests, silent, nobody)
+		So(n.Name, ShouldEqual, "home")
+	})
+}
+
 func TestWaitIsNotCountedTwice(t *testing.T) {
 	Convey("Bursts: the time a request waited at a gate is not part of the target's mean", t, func() {
 		p := newPicker("self", "d1", "r1")
--- a/internal/node/remote/remote.go
+++ b/internal/node/remote/remote.go
@@ -21,6 +21,10 @@
 	// dialTimeout bounds opening a connection to a node; regions are 60 ms apart
 	// there and back.
 	dialTimeout = 300 * time.Millisecond
+	// nearSilence and farSilence bound how long bytes sent to a node of the own or
+	// another region may stay unacknowledged: some retransmissions on a lossy link.
+	nearSilence = 500 * time.Millisecond
+	farSilence  = 900 * time.Millisecond
 	// domainMargin and regionMargin are taken off the time left at another node, for the
 	// way back.
 	domainMargin = 5 * time.Millisecond
@@ -49,12 +53,17 @@
 	return l, l.close
 }
 
-func (l *Links) client(address string) *frame.Client {
+func (l *Links) client(to *peers.Node) *frame.Client {
+	address := to.GateAddress()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c, ok := l.clients[address]
 	if !ok {
-		c = frame.NewClient(address, dialTimeout, l.attempt, call.FieldCall)
+		silence := nearSilence
+		if to.Region != l.self.Region {
+			silence = farSilence
+		}
+		c = frame.NewClient(address, dialTimeout, silence, l.attempt, call.FieldCall)
 		l.clients[address] = c
 	}
 	return c
@@ -89,7 +98,7 @@
 	sent := *c
 	sent.Deadline = c.Deadline.Add(-l.margin(&to))
 	extra := msg.AppendField(c.Extra, call.FieldCall, sent.EncodeField(time.Now()))
-	answer, err := l.client(to.GateAddress()).Do(ctx, c.Request, extra)
+	answer, err := l.client(&to).Do(ctx, c.Request, extra)
 	switch {
 	case err == nil:
 		return l.read(answer, c.Attempt)
@@ -147,7 +156,7 @@
 		Method: fasthttp.MethodGet,
 		URI:    RulesPath,
 	}
-	answer, err := l.client(from.GateAddress()).Do(ctx, request, nil)
+	answer, err := l.client(&from).Do(ctx, request, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/pipe/frame/client.go
+++ b/internal/pipe/frame/client.go
@@ -20,8 +20,10 @@
 
 // NewClient returns a client for an address. single names fields whose values
 // never come again, which stay out of the header tables.
-func NewClient(address string, dialTimeout time.Duration, single ...string) *Client {
-	o, _ := outlet.New(address, outlet.WithDialTimeout(dialTimeout))
+//
+// unacknowledged is how long a node may stay silent to sent bytes.
+func NewClient(address string, dialTimeout, unacknowledged time.Duration, single ...string) *Client {
+	o, _ := outlet.New(address, outlet.WithDialTimeout(dialTimeout), outlet.WithUnacknowledged(unacknowledged))
 	return &Client{
 		Outlet: o,
 		single: single,
--- a/internal/pipe/frame/frame_test.go
+++ b/internal/pipe/frame/frame_test.go
@@ -45,7 +45,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(stop)
-	c := NewClient(s.Address(), time.Second, "X-Id")
+	c := NewClient(s.Address(), time.Second, time.Second, "X-Id")
 	t.Cleanup(c.Close)
 	return s, c
 }
--- a/internal/pipe/outlet/outlet.go
+++ b/internal/pipe/outlet/outlet.go
@@ -64,12 +64,14 @@
 type Outlet struct {
 	address     string
 	dialTimeout time.Duration
-	attempt     string
-	filter      msg.Filter
-	mu          sync.Mutex
-	idle        []*Conn
-	closed      bool
-	dials       int
+	// unacknowledged is how long sent bytes may stay without an acknowledgement.
+	unacknowledged time.Duration
+	attempt        string
+	filter         msg.Filter
+	mu             sync.Mutex
+	idle           []*Conn
+	closed         bool
+	dials          int
 }
 
 // Option configures an Outlet.
@@ -82,6 +84,14 @@
 	}
 }
 
+// WithUnacknowledged bounds how long sent bytes may stay unacknowledged before
+// the connection counts as broken.
+func WithUnacknowledged(d time.Duration) Option {
+	return func(o *Outlet) {
+		o.unacknowledged = d
+	}
+}
+
 // WithAttemptHeader names the header in which peers echo the request's ID.
 func WithAttemptHeader(name string) Option {
 	return func(o *Outlet) {
@@ -99,8 +109,9 @@
 // New returns an outlet to an address and its clean-up.
 func New(address string, options ...Option) (*Outlet, func()) {
 	o := &Outlet{
-		address:     address,
-		dialTimeout: 500 * time.Millisecond,
+		address:        address,
+		dialTimeout:    500 * time.Millisecond,
+		unacknowledged: 3 * time.Second,
 	}
 	for _, opt := range options {
 		opt(o)
@@ -293,7 +304,7 @@
 func (o *Outlet) dial(ctx context.Context) (*Conn, error) {
 	d := net.Dialer{
 		Timeout: o.dialTimeout,
-		Control: boundUnacknowledged,
+		Control: o.boundUnacknowledged,
 	}
 	c, err := d.DialContext(ctx, "tcp", o.address)
 	switch {
@@ -311,14 +322,10 @@
 	}, nil
 }
 
-// unacknowledgedLimit is how long sent bytes may stay unacknowledged before the
-// connection counts as broken.
-const unacknowledgedLimit = 3 * time.Second
-
-func boundUnacknowledged(_, _ string, raw syscall.RawConn) error {
+func (o *Outlet) boundUnacknowledged(_, _ string, raw syscall.RawConn) error {
 	var err error
 	cerr := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedLimit.Milliseconds()))
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(o.unacknowledged.Milliseconds()))
 	})
 	return errors.Join(cerr, err)
 }
