Digests reach a whole domain, and only their voucher takes a node back

Change: a delegate hands digests on to its domain; whole digests prune only what their sender vouched for; beats name one more node of the domain; a lower boot time counts once the known start is not alive.

--- a/internal/mesh/peers/node.go
+++ b/internal/mesh/peers/node.go
@@ -81,10 +81,12 @@
 	// Nodes has the sender first, in beats and digests.
 	Nodes []Node
 	// Whole says that a digest names every live node of the sender's domain.
-	Whole  bool
-	Ask    *pool.Ask
-	Grant  *pool.Grant
-	Docket []crash.Entry
+	Whole bool
+	// Relayed says that a delegate handed a digest on within its own domain.
+	Relayed bool
+	Ask     *pool.Ask
+	Grant   *pool.Grant
+	Docket  []crash.Entry
 }
 
 type kind uint8
--- a/internal/mesh/peers/peers.go
+++ b/internal/mesh/peers/peers.go
@@ -44,7 +44,6 @@
 	digestAt timer.Instant
 	urgent   bool
 	beatAt   timer.Instant
-	relay    map[string]bool
 	heardAny timer.Instant
 	isolated atomic.Bool
 	calls    map[uint64]chan pool.Grant
@@ -57,6 +56,8 @@
 	node  Node
 	heard timer.Instant
 	alive bool
+	// via names the node that vouched for it last.
+	via string
 	// suspect says that beats are overdue.
 	suspect bool
 }
@@ -104,7 +105,6 @@
 		newer:   func(Node) {},
 		self:    self,
 		others:  map[string]*known{},
-		relay:   map[string]bool{},
 		calls:   map[uint64]chan pool.Grant{},
 	}
 	for _, o := range options {
@@ -258,19 +258,19 @@
 	}
 }
 
-// beat tells the own domain of this node; a delegate adds news of other
-// domains. p.mu must be held.
+// beat tells the own domain of this node, and of one more of its nodes, so that
+// one known to some gets known to all. p.mu must be held.
 func (p *Peers) beat(now timer.Instant) {
 	p.beatAt = now
 	nodes := []Node{p.self}
-	if p.isDelegate() {
-		for name := range p.relay {
-			if k, ok := p.others[name]; ok && k.alive {
+	if !p.self.Leaving {
+		for _, k := range p.others {
+			if k.alive && k.node.Domain == p.self.Domain {
 				nodes = append(nodes, k.node)
+				break
 			}
 		}
 	}
-	clear(p.relay)
 	p.emit(kindBeat, nodes, func(k *known) bool { return k.node.Domain == p.self.Domain })
 }
 
--- a/internal/mesh/peers/receive.go
+++ b/internal/mesh/peers/receive.go
@@ -46,20 +46,15 @@
 			continue
 		}
 		direct := n.Name == m.From
-		if p.merge(now, n, direct) {
+		if p.merge(now, n, m.From) {
 			dirty = true
 		}
 		if n.Rules > p.self.Rules && (direct || best.Name == "") {
 			best = *n
 		}
 	}
-	if m.Kind == kindDigest && m.Whole {
-		dirty = p.prune(now, m.Nodes) || dirty
-	}
 	if m.Kind == kindDigest {
-		for i := range m.Nodes {
-			p.relay[m.Nodes[i].Name] = true
-		}
+		dirty = p.receiveDigest(m) || dirty
 	}
 	if dirty {
 		p.publish()
@@ -69,34 +64,52 @@
 	}
 }
 
-// prune takes nodes for lost that a whole digest of their domain does not name.
-// p.mu must be held.
-func (p *Peers) prune(now timer.Instant, nodes []Node) bool {
-	if len(nodes) == 0 || nodes[0].Domain == p.self.Domain {
+// receiveDigest drops who is gone from another domain and, at the delegate, hands
+// the digest on to the own domain. p.mu must be held.
+func (p *Peers) receiveDigest(m message) (dirty bool) {
+	if len(m.Nodes) == 0 || m.Nodes[0].Domain == p.self.Domain {
 		return false
 	}
+	if m.Whole {
+		dirty = p.prune(m)
+	}
+	if m.Relayed || !p.isDelegate() {
+		return dirty
+	}
+	m.Relayed = true
+	data := encode(m)
+	for _, k := range p.others {
+		if k.alive && k.node.Domain == p.self.Domain {
+			_ = p.send(k.node.MeshAddress(), data)
+		}
+	}
+	return dirty
+}
+
+// prune takes nodes for lost that a whole digest does not name any more. Only
+// the node that vouched for them before can take that back: one that was cut off
+// names few. p.mu must be held.
+func (p *Peers) prune(m message) bool {
 	named := map[string]bool{}
-	for i := range nodes {
-		named[nodes[i].Name] = true
+	for i := range m.Nodes {
+		named[m.Nodes[i].Name] = true
 	}
 	dirty := false
 	for name, k := range p.others {
-		if k.alive && k.node.Domain == nodes[0].Domain && !named[name] && now.Sub(k.heard) > pruneAfter {
+		if k.alive && k.via == m.From && !named[name] {
 			k.alive = false
 			dirty = true
-			p.note(k.node, "lost", now.Sub(k.heard))
+			p.note(k.node, "lost", 0)
 		}
 	}
 	return dirty
 }
 
-// pruneAfter is the least silence of a node that a digest does not name: another
-// node of its domain may have told of it a moment ago.
-const pruneAfter = 500 * time.Millisecond
-
-// merge takes what is said of a node and reports whether the view changes.
+// merge takes what a node says of itself or another, and reports whether the view
+// changes.
 // p.mu must be held.
-func (p *Peers) merge(now timer.Instant, n *Node, direct bool) bool {
+func (p *Peers) merge(now timer.Instant, n *Node, from string) bool {
+	direct := n.Name == from
 	k, ok := p.others[n.Name]
 	if !ok {
 		k = &known{
@@ -105,17 +118,17 @@
 		p.others[n.Name] = k
 		p.greet(n)
 	}
-	rebooted := direct && n.Boot != k.node.Boot && (n.Boot > k.node.Boot || now.Sub(k.heard) > rebootAfter || !k.alive)
-	if n.Boot < k.node.Boot && !rebooted {
+	if n.Boot < k.node.Boot && k.alive && (!direct || now.Sub(k.heard) <= rebootAfter) {
 		return false
 	}
 	if !direct && n.Domain == p.self.Domain {
 		return false
 	}
-	changed := !ok || rebooted || n.newer(&k.node)
+	changed := !ok || n.Boot != k.node.Boot || n.newer(&k.node)
 	if changed {
 		k.node = *n
 	}
+	k.via = from
 	k.heard = now
 	if k.suspect {
 		k.suspect = false
