Requests that crash targets are found on the platform too

Cause: the docket was not wired: a request that crashes each server that runs it would have been sent on each time its caller came back. Change: gates note what was lost with a target whose death is certain (connection refused, or a new start); a second death makes a request suspect, which then runs alone, and a third convicts it; nodes tell each other. Two deaths instead of one, since targets also die of other causes, and what their callers send again would have to run alone.

--- a/internal/admit/crash/crash.go
+++ b/internal/admit/crash/crash.go
@@ -43,7 +43,9 @@
 
 // The standings, in order of severity.
 const (
-	Clear       Standing = "clear"
+	Clear Standing = "clear"
+	// Noted requests ran when one target died; only dockets with notes use it.
+	Noted       Standing = "noted"
 	Suspected   Standing = "suspected"
 	Quarantined Standing = "quarantined"
 )
@@ -56,6 +58,13 @@
 	LeftMillis int64 `json:"left-millis"`
 }
 
+// severity orders the standings.
+var severity = map[Standing]int{
+	Noted:       1,
+	Suspected:   2,
+	Quarantined: 3,
+}
+
 type standing struct {
 	standing Standing
 	until    timer.Instant
@@ -64,13 +73,30 @@
 // Docket is one node's list; it is not safe for concurrent use.
 type Docket struct {
 	entries map[Fingerprint]standing
+	notes   bool
+}
+
+// Option configures a Docket.
+type Option func(*Docket)
+
+// WithNotes makes a request suspect only after two targets died while it ran.
+// Where targets also die of other causes, what ran on them and is sent again by
+// its callers would all have to run alone otherwise.
+func WithNotes() Option {
+	return func(d *Docket) {
+		d.notes = true
+	}
 }
 
 // NewDocket returns an empty docket.
-func NewDocket() *Docket {
-	return &Docket{
+func NewDocket(options ...Option) *Docket {
+	d := &Docket{
 		entries: map[Fingerprint]standing{},
 	}
+	for _, o := range options {
+		o(d)
+	}
+	return d
 }
 
 // Judge returns the standing of a request and how long it lasts.
@@ -97,7 +123,10 @@
 			Standing:    Suspected,
 			LeftMillis:  suspicionTime.Milliseconds(),
 		}
-		if len(running) == 1 && old != Clear {
+		switch {
+		case d.notes && old == Clear:
+			e.Standing = Noted
+		case len(running) == 1 && (old == Suspected || old == Quarantined):
 			e.Standing = Quarantined
 			e.LeftMillis = QuarantineTime.Milliseconds()
 		}
@@ -110,10 +139,7 @@
 // Learn takes an entry from a peer; the more severe standing stays.
 func (d *Docket) Learn(now timer.Instant, e Entry) {
 	old, _ := d.Judge(now, e.Fingerprint)
-	if e.Standing != Suspected && e.Standing != Quarantined {
-		return
-	}
-	if old == Quarantined && e.Standing == Suspected {
+	if severity[e.Standing] == 0 || severity[e.Standing] < severity[old] {
 		return
 	}
 	if len(d.entries) >= maxEntries {
@@ -135,18 +161,21 @@
 // Cleared notes a clean run of a suspect and reports whether it was one.
 func (d *Docket) Cleared(now timer.Instant, f Fingerprint) bool {
 	old, _ := d.Judge(now, f)
-	if old != Suspected {
+	if old != Suspected && old != Noted {
 		return false
 	}
 	delete(d.entries, f)
 	return true
 }
 
-// Entries returns what is not clear.
+// Entries returns what is suspected or quarantined.
 func (d *Docket) Entries(now timer.Instant) []Entry {
 	d.sweep(now)
 	out := make([]Entry, 0, len(d.entries))
 	for f, e := range d.entries {
+		if e.standing == Noted {
+			continue
+		}
 		out = append(out, Entry{
 			Fingerprint: f,
 			Standing:    e.standing,
--- a/internal/admit/crash/crash_test.go
+++ b/internal/admit/crash/crash_test.go
@@ -61,3 +61,36 @@
 		So(left, ShouldBeLessThanOrEqualTo, 10*time.Minute)
 	})
 }
+
+func TestDocketWithNotes(t *testing.T) {
+	Convey("Given targets that also die of other causes", t, func() {
+		d := NewDocket(WithNotes())
+		bad, one := Of("w", "POST", "/x", []byte("bad")), Of("w", "POST", "/x", []byte("1"))
+		stands := func(f Fingerprint) Standing {
+			s, _ := d.Judge(10, f)
+			return s
+		}
+		d.Died(1, []Fingerprint{bad, one})
+		Convey("what ran once when one died is noted, and told once only", func() {
+			So(stands(bad), ShouldEqual, Noted)
+			So(d.Entries(2), ShouldBeEmpty)
+		})
+		Convey("a clean run clears it", func() {
+			So(d.Cleared(2, one), ShouldBeTrue)
+			So(stands(one), ShouldEqual, Clear)
+		})
+		Convey("a second death makes it suspect, a third alone convicts it", func() {
+			d.Died(2, []Fingerprint{bad})
+			So(stands(bad), ShouldEqual, Suspected)
+			So(stands(one), ShouldEqual, Noted)
+			d.Died(3, []Fingerprint{bad})
+			So(stands(bad), ShouldEqual, Quarantined)
+			So(d.Entries(4), ShouldHaveLength, 1)
+		})
+		Convey("a peer's note counts", func() {
+			d.Learn(2, Entry{Fingerprint: 7, Standing: Noted, LeftMillis: 60_000})
+			d.Died(3, []Fingerprint{7})
+			So(stands(7), ShouldEqual, Suspected)
+		})
+	})
+}
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -85,6 +85,7 @@
 	trimmed time.Time
 	// targetBorn is the start of the target whose calls are being counted.
 	targetBorn atomic.Int64
+	leaving    atomic.Bool
 	// up says that all parts are there, so that messages of other nodes can be taken.
 	up atomic.Bool
 }
@@ -98,10 +99,10 @@
 		log:     log,
 		stats:   counters,
 		tree:    tree,
-		docket:  newDocket(log),
 		graph:   graph.NewCounter(),
 		trimmed: time.Now(),
 	}
+	a.docket = newDocket(log, func(news []crash.Entry) { a.peers.Spread(news) })
 	if err := a.start(); err != nil {
 		stop()
 		return nil, nil, err
@@ -118,7 +119,8 @@
 		return err
 	}
 	var stop func()
-	a.gate, stop = gate.New(a.dialect.Names, gate.WithChanged(a.targetChanged), gate.WithRan(func() { a.graph.Ran(timer.Now()) }))
+	a.gate, stop = gate.New(a.dialect.Names, gate.WithChanged(a.targetChanged), gate.WithDocket(a.docket),
+		gate.WithRan(func() { a.graph.Ran(timer.Now()) }))
 	a.tree.Own(stop)
 	a.links, stop = remote.New(self, a.dialect.Names)
 	a.tree.Own(stop)
@@ -368,7 +370,7 @@
 func (a *Agent) Leave() {
 	began := time.Now()
 	end := began.Add(a.place.Grace - leaveReserve)
-	a.docket.leaving.Store(true)
+	a.leaving.Store(true)
 	a.callers.Drain()
 	time.Sleep(steadyLeave)
 	a.gate.Leave()
@@ -423,8 +425,3 @@
 	}
 	f.agent.peers.Learn(timer.Now(), nodes)
 }
-
-// spread tells the others of requests that crash targets.
-func (a *Agent) spread(entries []crash.Entry) {
-	a.peers.Spread(entries)
-}
--- a/internal/node/agent/http.go
+++ b/internal/node/agent/http.go
@@ -54,7 +54,7 @@
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	if a.docket.leaving.Load() || a.watcher.Current() == nil || a.peers.Isolated() {
+	if a.leaving.Load() || a.watcher.Current() == nil || a.peers.Isolated() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
--- a/internal/node/call/call.go
+++ b/internal/node/call/call.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/pipe/msg"
 )
 
@@ -31,6 +32,8 @@
 	Request *msg.Request
 	// Extra are the header lines that the entry adds.
 	Extra []byte
+	// Origin is the service and the workspace that the request comes from.
+	Origin string
 	// Deadline ends the time in which an answer is of use.
 	Deadline time.Time
 	// Patience bounds how long the request may wait for a slot.
@@ -42,6 +45,11 @@
 	Idempotent bool
 }
 
+// Fingerprint identifies what the request asks, whatever its attempt.
+func (c *Call) Fingerprint() crash.Fingerprint {
+	return crash.Of(c.Origin, c.Request.Method, c.Request.Host+c.Request.URI, c.Request.Body)
+}
+
 // Outcome is what became of a request.
 type Outcome int
 
--- a/internal/node/entry/dispatch.go
+++ b/internal/node/entry/dispatch.go
@@ -76,6 +76,8 @@
 	// soonest is the least time after which a gate expects room.
 	soonest time.Duration
 	last    call.Reason
+	// final says that no other node would decide otherwise.
+	final bool
 	// failure is a target's own failure, handed on if nothing better comes.
 	failure *msg.Response
 }
@@ -100,7 +102,7 @@
 			if d.flying > 0 {
 				continue
 			}
-			if !d.mayGoOn() || !d.launch(ctx) {
+			if d.final || !d.mayGoOn() || !d.launch(ctx) {
 				return d.giveUp()
 			}
 			hedge.Reset(d.hedgeAfter())
@@ -256,6 +258,7 @@
 	case call.NotRun:
 		d.refusals++
 		d.last = r.Reason
+		d.final = d.final || r.Reason == call.Suspect
 		if r.Reason != call.Busy {
 			q.lose(a.node.Name)
 		}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -245,7 +245,9 @@
 	in.Fields = e.filter.RequestFields(in.Header)
 	extra := msg.AppendField(make([]byte, 0, 128), e.names.Caller, e.service())
 	priority := q.route.Priority
+	workspace := ""
 	if q.workspace != nil {
+		workspace = q.workspace.Name
 		extra = msg.AppendField(extra, e.names.Workspace, q.workspace.Name)
 		if q.workspace.HasPriority {
 			priority = q.workspace.Priority
@@ -256,6 +258,7 @@
 		Service:    q.service,
 		Request:    &in.Request,
 		Extra:      extra,
+		Origin:     e.service() + "/" + workspace,
 		Deadline:   q.deadline(),
 		Priority:   priority,
 		Nested:     q.workspace == nil,
--- a/internal/node/entry/entry_test.go
+++ b/internal/node/entry/entry_test.go
@@ -293,6 +293,16 @@
 	})
 }
 
+func TestCrashingRequestIsNotPassedAround(t *testing.T) {
+	Convey("A request convicted of crashing targets is refused at the first gate", t, func() {
+		w := newWorld()
+		w.scripts["home"] = refuses(call.Suspect)
+		w.scripts["other"] = answers(200)
+		So(w.ask("/safe/1", "secret").Status, ShouldEqual, 503)
+		So(w.targets(), ShouldResemble, []string{"home"})
+	})
+}
+
 func TestKeysStayBehind(t *testing.T) {
 	Convey("The target gets the workspace and the caller's service, never the key or what the caller claims", t, func() {
 		w := newWorld()
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/admit/limit"
 	"fuchsiapier/internal/base/timer"
 	"fuchsiapier/internal/node/call"
@@ -77,6 +78,7 @@
 	filter  msg.Filter
 	changed func(State)
 	ran     func()
+	docket  Docket
 
 	mu        sync.Mutex
 	target    Target
@@ -89,6 +91,7 @@
 	left      map[string]int64
 	leftOrder []string
 	failures  failures
+	deaths    deaths
 }
 
 // Option configures a Gate.
@@ -101,6 +104,20 @@
 	}
 }
 
+// WithDocket sets where requests that crash targets are kept.
+func WithDocket(d Docket) Option {
+	return func(g *Gate) {
+		g.docket = d
+	}
+}
+
+// clear is a docket that knows no request.
+type clear struct{}
+
+func (clear) Judge(crash.Fingerprint) (crash.Standing, time.Duration) { return crash.Clear, 0 }
+func (clear) Died([]crash.Fingerprint)                                {}
+func (clear) Cleared(crash.Fingerprint)                               {}
+
 // WithRan registers a function that is told of each run at the target.
 func WithRan(f func()) Option {
 	return func(g *Gate) {
@@ -115,6 +132,8 @@
 		filter:  msg.NewFilter(call.FieldCall, call.FieldLoad, call.FieldRefused),
 		changed: func(State) {},
 		ran:     func() {},
+		docket:  clear{},
+		deaths:  newDeaths(),
 		limiter: limit.New(unknownSlots),
 		waiting: map[*limit.Ticket]chan bool{},
 		left:    map[string]int64{},
@@ -157,6 +176,9 @@
 		return false
 	}
 	before := g.stateLocked()
+	if g.known && g.target.Born > 0 && t.Born > g.target.Born {
+		g.tellDeath()
+	}
 	g.setTarget(t)
 	after := g.stateLocked()
 	woken := g.next()
@@ -272,16 +294,25 @@
 // Serve runs a call on the target. Its context ends when the caller hangs up:
 // a call that waits is then withdrawn, one that may be repeated is broken off.
 func (g *Gate) Serve(ctx context.Context, c *call.Call) call.Result {
+	print := c.Fingerprint()
+	standing, left := g.docket.Judge(print)
+	if standing == crash.Quarantined {
+		return notRun(call.Suspect, left)
+	}
 	ticket := &limit.Ticket{
 		Priority: -c.Priority,
 		Nested:   c.Nested,
+		Alone:    standing == crash.Suspected,
 		Deadline: instant(c.Deadline),
 	}
 	offered := time.Now()
 	result, admitted := g.admit(ctx, c, ticket)
 	queued := time.Since(offered)
 	if admitted {
-		result = g.run(ctx, c, ticket)
+		result = g.run(ctx, c, ticket, print)
+	}
+	if standing != crash.Clear && result.Outcome == call.Answered {
+		g.docket.Cleared(print)
 	}
 	result.Queued = queued
 	g.mu.Lock()
@@ -431,14 +462,18 @@
 }
 
 // run sends an admitted call and frees its slot afterwards.
-func (g *Gate) run(ctx context.Context, c *call.Call, t *limit.Ticket) call.Result {
+func (g *Gate) run(ctx context.Context, c *call.Call, t *limit.Ticket, print crash.Fingerprint) call.Result {
 	began := timer.Now()
+	g.mu.Lock()
+	g.deaths.begin(t, print)
+	g.mu.Unlock()
 	result := g.send(ctx, c)
 	if result.Reached {
 		g.ran()
 	}
 	g.mu.Lock()
 	g.limiter.Finish(timer.Now(), t, timer.Now().Sub(began), effect(result))
+	g.deaths.end(time.Now(), t, result.Reason == call.Lost)
 	failed, counts := failing(result)
 	g.failures.add(time.Now(), failed, counts)
 	woken := g.next()
@@ -560,6 +595,14 @@
 	if g.target.ID == target.ID {
 		g.downUntil = time.Now().Add(downTime)
 	}
+	g.tellDeath()
+}
+
+// tellDeath tells the docket what ran on a target that died; g.mu must be held.
+func (g *Gate) tellDeath() {
+	if prints := g.deaths.died(); len(prints) > 0 {
+		go g.docket.Died(prints)
+	}
 }
 
 // disown closes the gate after another target answered at the address, until
--- a/internal/node/gate/gate_test.go
+++ b/internal/node/gate/gate_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/node/call"
 	"fuchsiapier/internal/pipe/msg"
 )
@@ -316,3 +317,68 @@
 		So(g.Announce(at("a", 300, 1, true)), ShouldBeTrue)
 	})
 }
+
+// judge is a docket in memory that knows one request.
+type judge struct {
+	mu       sync.Mutex
+	standing crash.Standing
+	died     []crash.Fingerprint
+	cleared  int
+}
+
+func (j *judge) Judge(crash.Fingerprint) (crash.Standing, time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.standing, time.Minute
+}
+
+func (j *judge) Died(running []crash.Fingerprint) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.died = append(j.died, running...)
+}
+
+func (j *judge) Cleared(crash.Fingerprint) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.cleared++
+}
+
+func TestRequestThatCrashesTargets(t *testing.T) {
+	Convey("What ran on a target that died is told once its death is certain", t, func() {
+		s := newServer(t, "HTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Length: 9\r\nConnection: close\r\n\r\ncut")
+		j := &judge{standing: crash.Clear}
+		g := newGate(s, 4)
+		WithDocket(j)(g)
+		close(s.release)
+		c := newCall("bad")
+		So(g.Serve(context.Background(), c).Reason, ShouldEqual, call.Lost)
+		So(j.died, ShouldBeEmpty)
+		again := g.State().Target
+		again.Born, again.Seq = 200, 1
+		g.Announce(again)
+		So(eventually(func() bool {
+			j.mu.Lock()
+			defer j.mu.Unlock()
+			return len(j.died) == 1 && j.died[0] == c.Fingerprint()
+		}), ShouldBeTrue)
+	})
+	Convey("A convicted request is refused without a send; a suspect runs alone and is cleared", t, func() {
+		s := newServer(t, ok)
+		j := &judge{standing: crash.Quarantined}
+		g := newGate(s, 4)
+		WithDocket(j)(g)
+		r := g.Serve(context.Background(), newCall("bad"))
+		So(r.Outcome, ShouldEqual, call.NotRun)
+		So(r.Reason, ShouldEqual, call.Suspect)
+		So(s.seen, ShouldBeEmpty)
+		j.standing = crash.Suspected
+		results := serveAll(context.Background(), g, newCall("a"), newCall("b"))
+		So(eventually(func() bool { return g.State().Waiting == 1 && s.count(func() int { return s.running }) == 1 }), ShouldBeTrue)
+		close(s.release)
+		<-results
+		<-results
+		So(s.most, ShouldEqual, 1)
+		So(j.cleared, ShouldEqual, 2)
+	})
+}
