Waiting requests are ordered by when they are due

Ruled out: slots (the service was half used), crossing. Change: a request is due at its arrival, its objective and 250 ms for each rank; the earlier one goes first. Conclusion: TestDueTimesOrderTheQueue.

--- a/internal/admit/limit/limit.go
+++ b/internal/admit/limit/limit.go
@@ -47,12 +47,18 @@
 	// Alone asks that nothing else runs on the target meanwhile.
 	Alone    bool
 	Deadline timer.Instant
+	// Due is when the request should have been answered; earlier ones go first. Where
+	// it is not set, nested calls and then the priority decide.
+	Due      timer.Instant
 	queuedAt timer.Instant
 	sequence uint64
 }
 
 // before reports whether t is started ahead of o.
 func (t *Ticket) before(o *Ticket) bool {
+	if t.Due != 0 && o.Due != 0 && t.Due != o.Due {
+		return t.Due < o.Due
+	}
 	if t.Nested != o.Nested {
 		return t.Nested
 	}
--- a/internal/node/call/call.go
+++ b/internal/node/call/call.go
@@ -36,6 +36,8 @@
 	Origin string
 	// Deadline ends the time in which an answer is of use.
 	Deadline time.Time
+	// Due is when the answer should be back; it orders what waits.
+	Due time.Time
 	// Patience bounds how long the request may wait for a slot.
 	Patience time.Duration
 	// Priority ranks requests; 0 is the highest.
@@ -128,12 +130,13 @@
 		flags,
 		strconv.FormatInt(c.Patience.Milliseconds(), 10),
 		strconv.FormatInt(c.Deadline.Sub(now).Milliseconds(), 10),
+		strconv.FormatInt(c.Due.Sub(now).Milliseconds(), 10),
 	}, ",")
 }
 
 var errField = errors.New("malformed " + FieldCall)
 
-const fieldParts = 5
+const fieldParts = 6
 
 // DecodeField reads FieldCall.
 func DecodeField(value string, now time.Time) (*Call, error) {
@@ -144,7 +147,8 @@
 	priority, err1 := strconv.Atoi(parts[1])
 	patience, err2 := strconv.ParseInt(parts[3], 10, 32)
 	left, err3 := strconv.ParseInt(parts[4], 10, 32)
-	if err := errors.Join(err1, err2, err3); err != nil {
+	due, err4 := strconv.ParseInt(parts[5], 10, 32)
+	if err := errors.Join(err1, err2, err3, err4); err != nil {
 		return nil, errors.Join(errField, err)
 	}
 	return &Call{
@@ -154,6 +158,7 @@
 		Idempotent: strings.Contains(parts[2], flagIdempotent),
 		Patience:   time.Duration(patience) * time.Millisecond,
 		Deadline:   now.Add(time.Duration(left) * time.Millisecond),
+		Due:        now.Add(time.Duration(due) * time.Millisecond),
 	}, nil
 }
 
--- /dev/null
+++ b/internal/node/call/call_test.go
@@ -0,0 +1,43 @@
+package call
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestField(t *testing.T) {
+	Convey("What a gate must know arrives as it was sent", t, func() {
+		now := time.Now()
+		c := &Call{
+			Service:    "quota",
+			Priority:   2,
+			Nested:     true,
+			Idempotent: true,
+			Patience:   120 * time.Millisecond,
+			Deadline:   now.Add(800 * time.Millisecond),
+			Due:        now.Add(-20 * time.Millisecond),
+		}
+		got, err := DecodeField(c.EncodeField(now), now)
+		So(err, ShouldBeNil)
+		So(got, ShouldResemble, c)
+	})
+	Convey("Malformed fields are errors", t, func() {
+		for _, text := range []string{"", "quota", ",0,,1,1,1", "quota,x,,1,1,1", "quota,0,,1,1", "quota,0,,1,99999999999999,1"} {
+			_, err := DecodeField(text, time.Now())
+			So(err, ShouldNotBeNil)
+		}
+	})
+	Convey("Load and refusals pass, and what is malformed counts as none", t, func() {
+		wait, queued := DecodeLoad(EncodeLoad(Result{Wait: 40 * time.Millisecond, Queued: 7 * time.Millisecond}))
+		So(wait, ShouldEqual, 40*time.Millisecond)
+		So(queued, ShouldEqual, 7*time.Millisecond)
+		So(EncodeLoad(Result{}), ShouldBeEmpty)
+		reason, after := DecodeRefused(EncodeRefused(Result{Reason: Busy, RetryAfter: 300 * time.Millisecond}))
+		So(reason, ShouldEqual, Busy)
+		So(after, ShouldEqual, 300*time.Millisecond)
+		_, after = DecodeRefused("busy,soon")
+		So(after, ShouldEqual, 0)
+	})
+}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -26,6 +26,10 @@
 const (
 	// defaultDeadline holds for requests that name none.
 	defaultDeadline = 10 * time.Second
+	// priorityStep is how much later a request is due for each rank below the highest:
+	// a request of lower rank waits longer, but one with a short objective is not
+	// held up by calls that have time.
+	priorityStep = 250 * time.Millisecond
 	// unreadyRetry is when to come back to a node that knows no configuration yet.
 	unreadyRetry = 300 * time.Millisecond
 	// minRetryAfter is the least time a refused caller is told.
@@ -260,6 +264,7 @@
 		Extra:      extra,
 		Origin:     e.service() + "/" + workspace,
 		Deadline:   q.deadline(),
+		Due:        in.Arrived.Add(objective(q.route) + time.Duration(priority)*priorityStep),
 		Priority:   priority,
 		Nested:     q.workspace == nil,
 		Idempotent: q.route.Idempotent,
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -310,6 +310,9 @@
 		Alone:    standing == crash.Suspected,
 		Deadline: instant(c.Deadline),
 	}
+	if !c.Due.IsZero() {
+		ticket.Due = instant(c.Due)
+	}
 	offered := time.Now()
 	result, admitted := g.admit(ctx, c, ticket)
 	queued := time.Since(offered)
--- a/internal/node/gate/gate_test.go
+++ b/internal/node/gate/gate_test.go
@@ -207,6 +207,32 @@
 	})
 }
 
+func TestDueTimesOrderTheQueue(t *testing.T) {
+	Convey("Overload of a shared service: a short objective goes before calls that have time", t, func() {
+		s := newServer(t, ok)
+		g := newGate(s, 1)
+		first := serveAll(context.Background(), g, newCall("first"))
+		So(eventually(func() bool { return s.count(func() int { return s.running }) == 1 }), ShouldBeTrue)
+		now := time.Now()
+		var rest chan call.Result
+		for i, c := range []*call.Call{newCall("lookup"), newCall("billing"), newCall("view")} {
+			c.Nested = c.Attempt == "lookup"
+			c.Due = now.Add([]time.Duration{550 * time.Millisecond, 500 * time.Millisecond, 450 * time.Millisecond}[i])
+			rest = serveAll(context.Background(), g, c)
+			So(eventually(func() bool { return g.State().Waiting == i+1 }), ShouldBeTrue)
+		}
+		close(s.release)
+		<-first
+		<-rest
+		So(eventually(func() bool { return s.count(func() int { return len(s.seen) }) == 4 }), ShouldBeTrue)
+		order := []string{}
+		for _, h := range s.seen {
+			order = append(order, h.Get("X-Id"))
+		}
+		So(order, ShouldResemble, []string{"first", "view", "billing", "lookup"})
+	})
+}
+
 func TestImpatientCallIsRefusedAtOnce(t *testing.T) {
 	Convey("A call that would wait too long is told so, and how long", t, func() {
 		s := newServer(t, ok)
