--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -309,7 +309,14 @@
 	if r := a.watcher.Current(); r != nil && r.Version() >= from.Rules {
 		return
 	}
-	if !a.fetching.may(time.Now(), from, a.peers.View()) {
+	fetch, again := a.fetching.begin(time.Now(), from, a.peers.View())
+	if again > 0 {
+		time.AfterFunc(again, func() {
+			a.fetching.due()
+			a.fetchRules(from)
+		})
+	}
+	if !fetch {
 		return
 	}
 	defer a.fetching.done()
