--- a/cmd/fuchsiapierd/cmd_serve.go
+++ b/cmd/fuchsiapierd/cmd_serve.go
@@ -51,6 +51,7 @@
 	if err != nil {
 		return err
 	}
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
 	counters := stats.New()
 	out := diode.NewWriter(os.Stdout, logBuffer, logPeriod, counters.Dropped)
 	defer func() { _ = out.Close() }()
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -69,20 +69,22 @@
 	place   place.Place
 	dialect Dialect
 	log     zerolog.Logger
-	stats   *stats.Stats
-	tree    *super.Tree
-	peers   *peers.Peers
-	gate    *gate.Gate
-	watcher *watch.Watcher
-	links   *remote.Links
-	entry   *entry.Entry
-	tokens  *pool.Pool
-	callers *inlet.Server
-	calls   *frame.Server
-	docket  *docket
-	graph   *graph.Counter
-	repeats *retry.Budget
-	trimmed time.Time
+	// requestLog is for lines about single requests; it is thinned out under load.
+	requestLog zerolog.Logger
+	stats      *stats.Stats
+	tree       *super.Tree
+	peers      *peers.Peers
+	gate       *gate.Gate
+	watcher    *watch.Watcher
+	links      *remote.Links
+	entry      *entry.Entry
+	tokens     *pool.Pool
+	callers    *inlet.Server
+	calls      *frame.Server
+	docket     *docket
+	graph      *graph.Counter
+	repeats    *retry.Budget
+	trimmed    time.Time
 	// targetBorn is the start of the target whose calls are being counted.
 	targetBorn atomic.Int64
 	leaving    atomic.Bool
@@ -99,9 +101,11 @@
 		dialect: dialect,
 		log:     log,
 		stats:   counters,
-		tree:    tree,
-		graph:   graph.NewCounter(),
-		trimmed: time.Now(),
+
+		requestLog: log.Sample(counters.Sampler()),
+		tree:       tree,
+		graph:      graph.NewCounter(),
+		trimmed:    time.Now(),
 	}
 	a.docket = newDocket(log, func(news []crash.Entry) { a.peers.Spread(news) })
 	if err := a.start(); err != nil {
@@ -120,7 +124,7 @@
 		return err
 	}
 	var stop func()
-	a.gate, stop = gate.New(a.dialect.Names, gate.WithChanged(a.targetChanged), gate.WithDocket(a.docket),
+	a.gate, stop = gate.New(a.dialect.Names, gate.WithChanged(a.targetChanged), gate.WithDocket(a.docket), gate.WithLog(a.requestLog),
 		gate.WithRan(func() { a.graph.Ran(timer.Now()) }))
 	a.tree.Own(stop)
 	a.links, stop = remote.New(self, a.dialect.Names)
@@ -231,7 +235,7 @@
 		Repeats: a.repeats,
 		Graph:   a.graph,
 		Meter:   a.stats,
-		Log:     a.log,
+		Log:     a.requestLog,
 	})
 	var stop func()
 	var err error
--- a/internal/node/entry/dispatch.go
+++ b/internal/node/entry/dispatch.go
@@ -158,7 +158,9 @@
 	if d.reached+d.flying >= q.route.Attempts || time.Until(q.call.Deadline) < finalReserve {
 		return false
 	}
-	return d.entry.repeats.Spend(q.service)
+	allowed := d.entry.repeats.Spend(q.service)
+	q.denied = q.denied || !allowed
+	return allowed
 }
 
 // launch sends to the best node left; a request that every node found too busy
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -154,6 +154,8 @@
 	tried []string
 	// gone has nodes that are no use to the request.
 	gone map[string]bool
+	// denied says that the budget for repeats allowed no further send.
+	denied bool
 	// ran says that a target may have run the request.
 	ran bool
 }
@@ -359,7 +361,7 @@
 	}
 	line := e.log.WithLevel(level).Str("request", q.attempt).Str("route", name).Int64("rules", q.version).
 		Str("service", q.service).Int("status", status).Str("reason", string(why)).Int("sends", q.sends).
-		Strs("tried", q.tried).Int64("took-ms", took.Milliseconds())
+		Strs("tried", q.tried).Bool("repeat-denied", q.denied).Int64("took-ms", took.Milliseconds())
 	if q.workspace != nil {
 		line = line.Str("workspace", q.workspace.Name)
 	}
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"fuchsiapier/internal/admit/crash"
@@ -79,6 +80,7 @@
 	changed func(State)
 	ran     func()
 	docket  Docket
+	log     zerolog.Logger
 
 	mu        sync.Mutex
 	target    Target
@@ -119,6 +121,13 @@
 func (clear) Died([]crash.Fingerprint)                                {}
 func (clear) Cleared(crash.Fingerprint)                               {}
 
+// WithLog sets where calls that were refused or failed are logged.
+func WithLog(log zerolog.Logger) Option {
+	return func(g *Gate) {
+		g.log = log
+	}
+}
+
 // WithRan registers a function that is told of each run at the target.
 func WithRan(f func()) Option {
 	return func(g *Gate) {
@@ -134,6 +143,7 @@
 		changed: func(State) {},
 		ran:     func() {},
 		docket:  clear{},
+		log:     zerolog.Nop(),
 		deaths:  newDeaths(),
 		limiter: limit.New(unknownSlots),
 		waiting: map[*limit.Ticket]chan bool{},
@@ -302,7 +312,9 @@
 	print := c.Fingerprint()
 	standing, left := g.docket.Judge(print)
 	if standing == crash.Quarantined {
-		return notRun(call.Suspect, left)
+		refused := notRun(call.Suspect, left)
+		g.report(c, refused)
+		return refused
 	}
 	ticket := &limit.Ticket{
 		Priority: -c.Priority,
@@ -326,9 +338,28 @@
 	g.mu.Lock()
 	result.Wait = g.limiter.Wait(&limit.Ticket{})
 	g.mu.Unlock()
+	g.report(c, result)
 	return result
 }
 
+// report logs a call that was not answered well, with what decided it.
+func (g *Gate) report(c *call.Call, r call.Result) {
+	status := 0
+	if r.Outcome == call.Answered {
+		status = r.Answer.Status
+		if status < fasthttp.StatusInternalServerError {
+			return
+		}
+	}
+	s := g.State()
+	g.log.Warn().Str("request", c.Attempt).Str("service", c.Service).Str("outcome", r.Outcome.String()).
+		Str("reason", string(r.Reason)).Int("status", status).Str("target", s.ID).Int64("seq", s.Seq).
+		Int("running", s.Running).Int("waiting", s.Waiting).Int("limit", s.Limit).
+		Int64("queued-ms", r.Queued.Milliseconds()).Int64("wait-ms", r.Wait.Milliseconds()).
+		Int64("patience-ms", c.Patience.Milliseconds()).Int64("left-ms", time.Until(c.Deadline).Milliseconds()).
+		Bool("nested", c.Nested).Msg("call refused or failed at the gate")
+}
+
 // instant converts a wall-clock deadline to the clock of the limiter.
 func instant(t time.Time) timer.Instant {
 	return timer.Now().Add(time.Until(t))
--- a/internal/node/stats/stats.go
+++ b/internal/node/stats/stats.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 )
 
 // Stats is safe for concurrent use.
@@ -54,6 +55,36 @@
 	s.dropped.Add(float64(n))
 }
 
+// maxLines is how many lines about single requests are written a second: some
+// three times what a node of the present deployments handles.
+const maxLines = 400
+
+// sampler lets maxLines lines a second through and counts the others.
+type sampler struct {
+	zerolog.BurstSampler
+	dropped prometheus.Counter
+}
+
+// Sample reports whether a line is written.
+func (s *sampler) Sample(level zerolog.Level) bool {
+	if s.BurstSampler.Sample(level) {
+		return true
+	}
+	s.dropped.Inc()
+	return false
+}
+
+// Sampler bounds the lines about single requests and counts those left out.
+func (s *Stats) Sampler() zerolog.Sampler {
+	return &sampler{
+		BurstSampler: zerolog.BurstSampler{
+			Burst:  maxLines,
+			Period: time.Second,
+		},
+		dropped: s.dropped,
+	}
+}
+
 // Gauge registers a value that is read when asked for.
 func (s *Stats) Gauge(name, help string, read func() float64) {
 	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
