--- a/internal/node/entry/dispatch.go
+++ b/internal/node/entry/dispatch.go
@@ -273,6 +273,7 @@
 		q.lose(a.node.Name)
 	case call.Gone:
 		d.last = r.Reason
+		q.ran = q.ran || r.Reached
 	}
 	return nil, false
 }
--- a/internal/node/entry/entry_test.go
+++ b/internal/node/entry/entry_test.go
@@ -286,6 +286,17 @@
 		w.scripts["other"] = answers(201)
 		So(w.ask("/once/1", "secret").Status, ShouldEqual, 201)
 	})
+	Convey("A send that was broken off midway is never said not to have run", t, func() {
+		w := newWorld()
+		w.scripts["home"] = func(*call.Call) call.Result {
+			return call.Result{
+				Outcome: call.Gone,
+				Reason:  call.Stopped,
+				Reached: true,
+			}
+		}
+		So(w.ask("/once/1", "secret").Status, ShouldEqual, 502)
+	})
 	Convey("No target at all is a refusal, not a failure", t, func() {
 		w := newWorld()
 		w.scripts["home"] = refuses(call.NoTarget)
