--- a/Makefile
+++ b/Makefile
@@ -15,10 +15,10 @@
 check: fmt-check lint
 
 fmt:
-	gofmt -w cmd internal lab test
+	gofmt -w cmd internal lab platform test
 
 fmt-check:
-	@test -z "$$(gofmt -l cmd internal lab test)" || { gofmt -l cmd internal lab test; echo "run make fmt"; exit 1; }
+	@test -z "$$(gofmt -l cmd internal lab platform test)" || { gofmt -l cmd internal lab platform test; echo "run make fmt"; exit 1; }
 
 lint:
 	$(GO) vet ./...
@@ -40,6 +40,12 @@
 	$(GO) test -run xxx -fuzz FuzzFrameSize -fuzztime $(FUZZTIME) ./internal/mesh/link
 	$(GO) test -run xxx -fuzz FuzzMessage -fuzztime $(FUZZTIME) ./internal/mesh/roster
 	$(GO) test -run xxx -fuzz FuzzPeerMessages -fuzztime $(FUZZTIME) ./internal/edge/daemon
+	$(GO) test -run xxx -fuzz FuzzRead -fuzztime $(FUZZTIME) ./internal/pipe/frame
+	$(GO) test -run xxx -fuzz FuzzReceive -fuzztime $(FUZZTIME) ./internal/mesh/peers
+	$(GO) test -run xxx -fuzz 'FuzzParseConfig$$' -fuzztime $(FUZZTIME) ./platform
+	$(GO) test -run xxx -fuzz 'FuzzParseAnnouncement$$' -fuzztime $(FUZZTIME) ./platform
+	$(GO) test -run xxx -fuzz 'FuzzDecodeRead$$' -fuzztime $(FUZZTIME) ./platform
+	$(GO) test -run xxx -fuzz 'FuzzParseSettings$$' -fuzztime $(FUZZTIME) ./platform
 
 # Puts faults back and checks that a test sees each.
 mutants:
--- a/internal/node/entry/dispatch.go
+++ b/internal/node/entry/dispatch.go
@@ -41,7 +41,6 @@
 type attempt struct {
 	node   peers.Node
 	result call.Result
-	hedged bool
 }
 
 // dispatch sends a request until it is answered or given up. Refusals of gates
--- a/internal/pipe/frame/server.go
+++ b/internal/pipe/frame/server.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"runtime/debug"
@@ -22,6 +23,9 @@
 	arriveTime = 10 * time.Second
 	// writeTime bounds how long a node may take no bytes of its answer.
 	writeTime = 5 * time.Second
+	// acceptPause is the pause after a connection could not be accepted, as with a
+	// full table of descriptors.
+	acceptPause = 10 * time.Millisecond
 	// bufferSize is a connection's read buffer, in bytes.
 	bufferSize = 2 << 10
 )
@@ -68,11 +72,12 @@
 	for {
 		c, err := s.listener.Accept()
 		if err != nil {
-			if ne, ok := err.(net.Error); ok && ne.Temporary() { //nolint:staticcheck // a full descriptor table passes
-				time.Sleep(10 * time.Millisecond)
-				continue
+			if errors.Is(err, net.ErrClosed) {
+				return
 			}
-			return
+			s.log.Warn().Err(err).Str("address", s.Address()).Msg("connection can't be accepted")
+			time.Sleep(acceptPause)
+			continue
 		}
 		go s.serve(c)
 	}
--- a/internal/pipe/inlet/inlet.go
+++ b/internal/pipe/inlet/inlet.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -28,6 +29,9 @@
 	// lingerTime is how long a closed connection is still read, so that unread
 	// bytes don't reset it before the caller has its answer.
 	lingerTime = 500 * time.Millisecond
+	// acceptPause is the pause after a connection could not be accepted, as with a
+	// full table of descriptors.
+	acceptPause = 10 * time.Millisecond
 	// keepAliveIdle and keepAliveInterval find callers whose VM is gone.
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 1 * time.Second
@@ -121,11 +125,12 @@
 	for {
 		c, err := s.listener.Accept()
 		if err != nil {
-			if ne, ok := err.(net.Error); ok && ne.Temporary() { //nolint:staticcheck // a full descriptor table passes
-				time.Sleep(10 * time.Millisecond)
-				continue
+			if errors.Is(err, net.ErrClosed) {
+				return
 			}
-			return
+			s.log.Warn().Err(err).Str("address", s.Address()).Msg("connection can't be accepted")
+			time.Sleep(acceptPause)
+			continue
 		}
 		go s.serve(c)
 	}
