A repeat that is not allowed charges nobody

Change: tokens go back where a repeat is not allowed; silent calls that make calls get no second send where failures are common.

--- a/internal/admit/retry/budget.go
+++ b/internal/admit/retry/budget.go
@@ -25,6 +25,8 @@
 // Tokens keeps named budgets over all nodes.
 type Tokens interface {
 	Take(ctx context.Context, budget string) (ok bool, retryAfter time.Duration)
+	// Return gives back a token that was not used.
+	Return(budget string)
 }
 
 // Bounds say how many repeats a service may get, over all nodes: within any
@@ -114,22 +116,36 @@
 }
 
 // Spend takes one repeat of a service, and of each service that it calls, and
-// reports whether all of them allow it.
+// reports whether all of them allow it; otherwise none is charged.
 func (b *Budget) Spend(service string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), spendWait)
 	defer cancel()
+	var taken []string
 	for s, n := range b.costs(service) {
 		if n < minCost {
 			continue
 		}
 		for range int(math.Round(max(n, 1))) {
 			if ok, _ := b.tokens.Take(ctx, budgetPrefix+s); !ok {
+				b.giveBack(taken)
 				return false
 			}
+			taken = append(taken, budgetPrefix+s)
 		}
 	}
 	return true
 }
 
+func (b *Budget) giveBack(budgets []string) {
+	for _, name := range budgets {
+		b.tokens.Return(name)
+	}
+}
+
+// Deep reports whether a repeat of a service is charged at other services too.
+func (b *Budget) Deep(service string) bool {
+	return len(b.costs(service)) > 1
+}
+
 // spendWait bounds how long a request waits for the budget.
 const spendWait = 60 * time.Millisecond
--- a/internal/admit/retry/budget_test.go
+++ b/internal/admit/retry/budget_test.go
@@ -11,10 +11,15 @@
 type purse map[string]int
 
 func (p purse) Take(_ context.Context, budget string) (bool, time.Duration) {
+	if p[budget] < 1 {
+		return false, 0
+	}
 	p[budget]--
-	return p[budget] >= 0, 0
+	return true, 0
 }
 
+func (p purse) Return(budget string) { p[budget]++ }
+
 func newTestBudget(p purse) *Budget {
 	bounds := Bounds{
 		Ratio:  0.2,
@@ -38,6 +43,18 @@
 		So(p["repeats/inspect"], ShouldEqual, 1)
 		So(b.Spend("landings"), ShouldBeFalse)
 	})
+	Convey("A repeat that is not allowed charges nobody: the tokens serve the calls below", t, func() {
+		p := purse{"repeats/landings": 9, "repeats/inspect": 3}
+		b := newTestBudget(p)
+		for range 5 {
+			So(b.Spend("landings"), ShouldBeFalse)
+		}
+		for range 3 {
+			So(b.Spend("inspect"), ShouldBeTrue)
+		}
+		So(b.Deep("landings"), ShouldBeTrue)
+		So(b.Deep("inspect"), ShouldBeFalse)
+	})
 	Convey("A budget's name leads back to its service", t, func() {
 		s, ok := Service("repeats/inspect")
 		So(ok, ShouldBeTrue)
--- a/internal/node/entry/dispatch.go
+++ b/internal/node/entry/dispatch.go
@@ -106,7 +106,7 @@
 			}
 			hedge.Reset(d.hedgeAfter())
 		case <-hedge.C:
-			if d.flying == 1 && d.mayRepeat() {
+			if d.flying == 1 && d.mayHedge() && d.mayRepeat() {
 				d.launch(ctx)
 			}
 		case <-deadline.C:
@@ -151,6 +151,23 @@
 	return d.mayRepeat()
 }
 
+// mayHedge reports whether a silent send is worth a second one. Where failures
+// are common and a repeat is charged further down, the budget is left to those
+// calls.
+func (d *dispatcher) mayHedge() bool {
+	q, e := d.request, d.entry
+	if !e.repeats.Deep(q.service) {
+		return true
+	}
+	name := q.tried[len(q.tried)-1]
+	for _, n := range e.fleet.View().Targets(q.service) {
+		if n.Name == name {
+			return e.picker.failing(time.Now(), &n) <= rareFailures
+		}
+	}
+	return true
+}
+
 // mayRepeat takes one send beyond the first from the budget of the service.
 func (d *dispatcher) mayRepeat() bool {
 	q := d.request
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -59,6 +59,8 @@
 type Repeats interface {
 	First(service string)
 	Spend(service string) bool
+	// Deep reports whether a repeat is charged at other services too.
+	Deep(service string) bool
 }
 
 // Graph counts the calls of the target on the VM.
--- a/internal/node/entry/entry_test.go
+++ b/internal/node/entry/entry_test.go
@@ -40,6 +40,7 @@
 	heads   []string
 	tokens  bool
 	spends  int
+	deep    bool
 	entry   *Entry
 	rules   *rules.Rules
 }
@@ -152,6 +153,8 @@
 	return w.spends >= 0
 }
 
+func (w *world) Deep(string) bool { return w.deep }
+
 func (w *world) Answered(string, int, string, time.Duration) {}
 
 // targets names the nodes that were sent to, in order.
--- a/internal/quota/pool/pool.go
+++ b/internal/quota/pool/pool.go
@@ -255,6 +255,19 @@
 	}
 }
 
+// Return gives back a token that was taken for something that did not happen.
+func (p *Pool) Return(workspace string) {
+	if _, limited := p.limits(workspace); !limited {
+		return
+	}
+	a := p.account(workspace)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.receive(p.now(), Grant{
+		Amount: 1,
+	})
+}
+
 // spend takes a token from what the node holds; a.mu must be held.
 func (a *account) spend(now timer.Instant, l Limit, keeper bool, ring Ring) bool {
 	if now < a.stockUntil && a.stock >= 1 {
--- a/internal/quota/pool/pool_test.go
+++ b/internal/quota/pool/pool_test.go
@@ -220,6 +220,25 @@
 	})
 }
 
+func TestReturnedTokens(t *testing.T) {
+	Convey("A token given back is spent once more, and not after its time", t, func() {
+		f := newFleet(Limit{Rate: 1, Burst: 4}, 1, 2)
+		p := f.nodes["d0-n1"].pool
+		passed := 0
+		for range 10 {
+			if ok, _ := p.Take(context.Background(), "w"); ok {
+				passed++
+			}
+		}
+		p.Return("w")
+		ok, _ := p.Take(context.Background(), "w")
+		So(ok, ShouldBeTrue)
+		ok, _ = p.Take(context.Background(), "w")
+		So(ok, ShouldBeFalse)
+		So(passed, ShouldBeLessThanOrEqualTo, 4)
+	})
+}
+
 func TestUnlimited(t *testing.T) {
 	Convey("A workspace without a limit is never refused", t, func() {
 		f := newFleet(Limit{}, 1, 1)
