--- a/internal/admit/graph/graph.go
+++ b/internal/admit/graph/graph.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"fuchsiapier/internal/base/decay"
 	"fuchsiapier/internal/base/timer"
 )
 
@@ -33,33 +34,14 @@
 // concurrent use.
 type Counter struct {
 	mu    sync.Mutex
-	runs  decayed
-	calls map[string]*decayed
-}
-
-// decayed is a count with exponential decay.
-type decayed struct {
-	n  float64
-	at timer.Instant
-}
-
-func (d *decayed) add(now timer.Instant, n float64) {
-	d.value(now)
-	d.n += n
-}
-
-func (d *decayed) value(now timer.Instant) float64 {
-	if dt := now.Sub(d.at); dt > 0 {
-		d.n *= math.Exp(-dt.Seconds() / window.Seconds())
-		d.at = now
-	}
-	return d.n
+	runs  decay.Sum
+	calls map[string]*decay.Sum
 }
 
 // NewCounter returns an empty counter.
 func NewCounter() *Counter {
 	return &Counter{
-		calls: map[string]*decayed{},
+		calls: map[string]*decay.Sum{},
 	}
 }
 
@@ -67,7 +49,7 @@
 func (c *Counter) Ran(now timer.Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.runs.add(now, 1)
+	c.runs.Add(now, window, 1)
 }
 
 // Called counts a call of the target to a service.
@@ -76,17 +58,17 @@
 	defer c.mu.Unlock()
 	d, ok := c.calls[service]
 	if !ok {
-		d = &decayed{}
+		d = &decay.Sum{}
 		c.calls[service] = d
 	}
-	d.add(now, 1)
+	d.Add(now, window, 1)
 }
 
 // Reset forgets what another target did on the VM.
 func (c *Counter) Reset() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.runs = decayed{}
+	c.runs = decay.Sum{}
 	clear(c.calls)
 }
 
@@ -94,13 +76,13 @@
 func (c *Counter) Edges(now timer.Instant) []Edge {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	runs := c.runs.value(now)
+	runs := c.runs.Value(now, window)
 	if runs < minRuns {
 		return nil
 	}
 	var out []Edge
 	for service, d := range c.calls {
-		if ratio := d.value(now) / runs; ratio >= minCalls {
+		if ratio := d.Value(now, window) / runs; ratio >= minCalls {
 			out = append(out, Edge{
 				Service: service,
 				PerCent: uint16(min(math.Round(100*ratio), math.MaxUint16)),
--- a/internal/admit/retry/budget.go
+++ b/internal/admit/retry/budget.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"fuchsiapier/internal/base/decay"
 	"fuchsiapier/internal/base/timer"
 )
 
@@ -47,20 +48,7 @@
 	// nodes and domains count the fleet.
 	fleet func() (nodes, domains int)
 	mu    sync.Mutex
-	rates map[string]*rate
-}
-
-type rate struct {
-	value float64
-	at    timer.Instant
-}
-
-func (r *rate) now(now timer.Instant) float64 {
-	if dt := now.Sub(r.at); dt > 0 {
-		r.value *= math.Exp(-dt.Seconds() / rateWindow.Seconds())
-		r.at = now
-	}
-	return r.value
+	rates map[string]*decay.Sum
 }
 
 // NewBudget returns a budget.
@@ -70,7 +58,7 @@
 		tokens: tokens,
 		costs:  costs,
 		fleet:  fleet,
-		rates:  map[string]*rate{},
+		rates:  map[string]*decay.Sum{},
 	}
 }
 
@@ -78,14 +66,12 @@
 func (b *Budget) First(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := timer.Now()
 	r, ok := b.rates[service]
 	if !ok {
-		r = &rate{}
+		r = &decay.Sum{}
 		b.rates[service] = r
 	}
-	r.now(now)
-	r.value += 1 / rateWindow.Seconds()
+	r.AddRate(timer.Now(), rateWindow, 1)
 }
 
 // budgetPrefix keeps the names of these budgets apart from workspaces.
@@ -107,7 +93,7 @@
 	b.mu.Lock()
 	own := 0.0
 	if r, ok := b.rates[service]; ok {
-		own = r.now(timer.Now())
+		own = r.Value(timer.Now(), rateWindow)
 	}
 	b.mu.Unlock()
 	window := b.bounds.Ratio*own*float64(nodes)*b.bounds.Window.Seconds() + b.bounds.Slack
--- /dev/null
+++ b/internal/base/decay/decay_test.go
@@ -0,0 +1,31 @@
+package decay
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"fuchsiapier/internal/base/timer"
+)
+
+func TestSum(t *testing.T) {
+	const window = time.Second
+	Convey("A sum fades to 1/e within its window, and never rises by itself", t, func() {
+		var s Sum
+		now := timer.Instant(time.Hour)
+		s.Add(now, window, 10)
+		So(s.Value(now, window), ShouldEqual, 10)
+		So(s.Value(now.Add(window), window), ShouldAlmostEqual, 3.679, 0.001)
+		So(s.Value(now, window), ShouldAlmostEqual, 3.679, 0.001)
+	})
+	Convey("A steady rate is estimated", t, func() {
+		var s Sum
+		now := timer.Instant(time.Hour)
+		for range 2000 {
+			now = now.Add(10 * time.Millisecond)
+			s.AddRate(now, window, 0.5)
+		}
+		So(s.Value(now, window), ShouldAlmostEqual, 50, 1)
+	})
+}
--- a/internal/edge/pool/pool.go
+++ b/internal/edge/pool/pool.go
@@ -9,10 +9,11 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"fuchsiapier/internal/pipe/outlet"
 )
 
 const (
@@ -138,7 +139,7 @@
 		if c == nil {
 			return p.dial(ctx)
 		}
-		if alive(c) {
+		if outlet.Alive(c.Conn) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -181,27 +182,6 @@
 	p.idle = append(p.idle, c)
 }
 
-// alive reports whether an idle connection has neither ended nor received bytes
-// that nobody asked for.
-func alive(c *conn) bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(e, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
-}
-
 func (p *Pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/node/gate/deaths.go
+++ b/internal/node/gate/deaths.go
@@ -23,8 +23,8 @@
 
 // loss is a run whose answer was lost.
 type loss struct {
-	print crash.Fingerprint
-	at    time.Time
+	fingerprint crash.Fingerprint
+	at          time.Time
 }
 
 // deaths finds out what ran on a target when it died. A lost answer alone says
@@ -54,8 +54,8 @@
 		d.lost = d.lost[1:]
 	}
 	d.lost = append(d.lost, loss{
-		print: f,
-		at:    now,
+		fingerprint: f,
+		at:          now,
 	})
 }
 
@@ -68,7 +68,7 @@
 	var out []crash.Fingerprint
 	for _, l := range d.lost {
 		if latest.Sub(l.at) <= clusterTime {
-			out = append(out, l.print)
+			out = append(out, l.fingerprint)
 		}
 	}
 	d.lost = nil
--- a/internal/pipe/frame/server.go
+++ b/internal/pipe/frame/server.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"runtime/debug"
@@ -13,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"fuchsiapier/internal/pipe/accept"
 	"fuchsiapier/internal/pipe/msg"
 )
 
@@ -23,9 +23,6 @@
 	arriveTime = 10 * time.Second
 	// writeTime bounds how long a node may take no bytes of its answer.
 	writeTime = 5 * time.Second
-	// acceptPause is the pause after a connection could not be accepted, as with a
-	// full table of descriptors.
-	acceptPause = 10 * time.Millisecond
 	// bufferSize is a connection's read buffer, in bytes.
 	bufferSize = 2 << 10
 )
@@ -59,7 +56,7 @@
 		listener: listener,
 		conns:    map[*serverConn]struct{}{},
 	}
-	go s.accept()
+	go accept.Loop(listener, s.log, s.serve)
 	return s, s.close, nil
 }
 
@@ -68,21 +65,6 @@
 	return s.listener.Addr().String()
 }
 
-func (s *Server) accept() {
-	for {
-		c, err := s.listener.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			s.log.Warn().Err(err).Str("address", s.Address()).Msg("connection can't be accepted")
-			time.Sleep(acceptPause)
-			continue
-		}
-		go s.serve(c)
-	}
-}
-
 func (s *Server) serve(c net.Conn) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/pipe/inlet/inlet.go
+++ b/internal/pipe/inlet/inlet.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -16,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"fuchsiapier/internal/conf/rules"
+	"fuchsiapier/internal/pipe/accept"
 	"fuchsiapier/internal/pipe/msg"
 )
 
@@ -29,9 +29,6 @@
 	// lingerTime is how long a closed connection is still read, so that unread
 	// bytes don't reset it before the caller has its answer.
 	lingerTime = 500 * time.Millisecond
-	// acceptPause is the pause after a connection could not be accepted, as with a
-	// full table of descriptors.
-	acceptPause = 10 * time.Millisecond
 	// keepAliveIdle and keepAliveInterval find callers whose VM is gone.
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 1 * time.Second
@@ -112,7 +109,7 @@
 	for _, o := range options {
 		o(s)
 	}
-	go s.accept()
+	go accept.Loop(listener, s.log, s.serve)
 	return s, s.close, nil
 }
 
@@ -121,21 +118,6 @@
 	return s.listener.Addr().String()
 }
 
-func (s *Server) accept() {
-	for {
-		c, err := s.listener.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			s.log.Warn().Err(err).Str("address", s.Address()).Msg("connection can't be accepted")
-			time.Sleep(acceptPause)
-			continue
-		}
-		go s.serve(c)
-	}
-}
-
 func (s *Server) serve(c net.Conn) {
 	cn := newConn(s, c)
 	s.mu.Lock()
--- a/internal/pipe/outlet/outlet.go
+++ b/internal/pipe/outlet/outlet.go
@@ -283,7 +283,7 @@
 		if c == nil {
 			return o.dial(ctx)
 		}
-		if time.Now().Before(c.FreshUntil) && alive(c) {
+		if time.Now().Before(c.FreshUntil) && Alive(c.Conn) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -366,10 +366,10 @@
 	o.idle = nil
 }
 
-// alive reports whether an idle connection has neither ended nor received bytes
+// Alive reports whether an idle connection has neither ended nor received bytes
 // that nobody asked for.
-func alive(c *Conn) bool {
-	sc, ok := c.Conn.(syscall.Conn)
+func Alive(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/quota/bank/account.go
+++ b/internal/quota/bank/account.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"fuchsiapier/internal/base/decay"
 	"fuchsiapier/internal/base/timer"
 	"fuchsiapier/internal/quota/purse"
 )
@@ -33,7 +34,7 @@
 	mu       sync.Mutex
 	name     string
 	purse    *purse.Purse
-	demand   meter
+	demand   decay.Sum
 	usedAt   timer.Instant
 	dryUntil timer.Instant
 	asking   chan struct{}
@@ -53,34 +54,10 @@
 	done chan struct{}
 }
 
-// meter estimates a rate with exponential decay.
-type meter struct {
-	rate float64
-	at   timer.Instant
-}
-
-func (m *meter) add(now timer.Instant, n float64) {
-	m.decay(now)
-	m.rate += n / demandWindow.Seconds()
-}
-
-func (m *meter) decay(now timer.Instant) {
-	dt := now.Sub(m.at)
-	if dt > 0 {
-		m.rate *= math.Exp(-dt.Seconds() / demandWindow.Seconds())
-		m.at = now
-	}
-}
-
-func (m *meter) value(now timer.Instant) float64 {
-	m.decay(now)
-	return m.rate
-}
-
 // reserve is in whole tokens, since a part of one serves no request here but
 // may complete one elsewhere.
 func (a *account) reserve(now timer.Instant) float64 {
-	return math.Floor(a.demand.value(now) * reserveTime.Seconds())
+	return math.Floor(a.demand.Value(now, demandWindow) * reserveTime.Seconds())
 }
 
 // domainDemand adds up what the members reported lately.
@@ -99,7 +76,7 @@
 // small reports whether the demand to come is less than a token, so that what
 // is borrowed serves others better.
 func (a *account) small(now timer.Instant) bool {
-	return max(a.demand.value(now), a.domainDemand(now))*lookahead.Seconds() < 1
+	return max(a.demand.Value(now, demandWindow), a.domainDemand(now))*lookahead.Seconds() < 1
 }
 
 // within reports whether the failure domain, which has so many members, asks for
@@ -107,11 +84,11 @@
 // on their way; one far over the rate is refused at once.
 func (a *account) within(now timer.Instant, members int) bool {
 	entitled := a.purse.Slice().Rate * float64(members)
-	return max(a.domain, a.domainDemand(now), a.demand.value(now)) <= withinFactor*entitled
+	return max(a.domain, a.domainDemand(now), a.demand.Value(now, demandWindow)) <= withinFactor*entitled
 }
 
 // want returns how many tokens are lacking for the demand to come and for at
 // least so many now.
 func (a *account) want(now timer.Instant, least float64) float64 {
-	return max(a.demand.value(now)*lookahead.Seconds(), least) - a.purse.Holds(now)
+	return max(a.demand.Value(now, demandWindow)*lookahead.Seconds(), least) - a.purse.Holds(now)
 }
--- a/internal/quota/bank/bank.go
+++ b/internal/quota/bank/bank.go
@@ -160,7 +160,7 @@
 	now := timer.Now()
 	b.checkPause(now)
 	a.mu.Lock()
-	a.demand.add(now, n)
+	a.demand.AddRate(now, demandWindow, n)
 	a.usedAt = now
 	if a.purse.Take(now, n) {
 		ended := a.purse.Settlements(now)
@@ -232,7 +232,7 @@
 		From:   b.self,
 		Scope:  FromFleet,
 		Want:   a.want(asked, least),
-		Demand: a.demand.value(asked),
+		Demand: a.demand.Value(asked, demandWindow),
 	}
 	a.mu.Unlock()
 	broker := b.mesh.Broker(a.name)
@@ -275,7 +275,7 @@
 	now := timer.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.demand.add(now, n)
+	a.demand.AddRate(now, demandWindow, n)
 	a.usedAt = now
 	a.purse.Charge(now, n)
 }
@@ -298,7 +298,7 @@
 	now := timer.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return max(a.domain, a.demand.value(now))
+	return max(a.domain, a.demand.Value(now, demandWindow))
 }
 
 func (b *Bank) retryAfter(a *account, n float64) time.Duration {
--- a/internal/quota/bank/status.go
+++ b/internal/quota/bank/status.go
@@ -29,7 +29,7 @@
 			Burst:       a.purse.Slice().Burst,
 			Holds:       a.purse.Holds(now),
 			Outstanding: a.purse.Outstanding(),
-			Demand:      a.demand.value(now),
+			Demand:      a.demand.Value(now, demandWindow),
 		})
 		a.mu.Unlock()
 	}
--- a/internal/quota/pool/pool.go
+++ b/internal/quota/pool/pool.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"fuchsiapier/internal/base/decay"
 	"fuchsiapier/internal/base/timer"
 )
 
@@ -132,7 +133,7 @@
 // account is what a node holds of one workspace.
 type account struct {
 	mu     sync.Mutex
-	demand meter
+	demand decay.Sum
 	// stock holds tokens handed over by the keeper.
 	stock      float64
 	stockUntil timer.Instant
@@ -181,25 +182,6 @@
 	}
 }
 
-// meter estimates a rate with exponential decay.
-type meter struct {
-	rate float64
-	at   timer.Instant
-}
-
-func (m *meter) add(now timer.Instant, n float64) {
-	m.value(now)
-	m.rate += n / demandWindow.Seconds()
-}
-
-func (m *meter) value(now timer.Instant) float64 {
-	if dt := now.Sub(m.at); dt > 0 {
-		m.rate *= math.Exp(-dt.Seconds() / demandWindow.Seconds())
-		m.at = now
-	}
-	return m.rate
-}
-
 func (p *Pool) account(workspace string) *account {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -223,7 +205,7 @@
 	a := p.account(workspace)
 	a.mu.Lock()
 	now := p.now()
-	a.demand.add(now, 1)
+	a.demand.AddRate(now, demandWindow, 1)
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, takeWait)
 	defer cancel()
@@ -289,7 +271,7 @@
 func (p *Pool) refill(ctx context.Context, a *account, workspace string, l Limit, keeper string) {
 	a.mu.Lock()
 	now := p.now()
-	demand := a.demand.value(now)
+	demand := a.demand.Value(now, demandWindow)
 	ask := Ask{
 		Workspace: workspace,
 		From:      p.self,
@@ -399,7 +381,7 @@
 
 // domainDemand adds up what the domain's nodes reported; a.mu must be held.
 func (a *account) domainDemand(now timer.Instant) float64 {
-	sum := a.demand.value(now)
+	sum := a.demand.Value(now, demandWindow)
 	for node, r := range a.reports {
 		if now.Sub(r.at) > reportLife {
 			delete(a.reports, node)
