--- /dev/null
+++ b/internal/pipe/frame/bench_test.go
@@ -0,0 +1,44 @@
+package frame
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fuchsiapier/internal/pipe/msg"
+)
+
+// BenchmarkCall is one call from an entry to another node's gate and back, both
+// ends in one process.
+func BenchmarkCall(b *testing.B) {
+	s, stop, err := Serve("127.0.0.1:0", func(context.Context, *Request) *msg.Response {
+		return msg.Plain(200, "ok")
+	}, zerolog.Nop(), "X-Id")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer stop()
+	c := NewClient(s.Address(), time.Second, time.Second, "X-Id")
+	defer c.Close()
+	r := request("6366cff5387c3798")
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := c.Do(context.Background(), r, nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkEncode is the encoding of a short call whose fields are in the tables.
+func BenchmarkEncode(b *testing.B) {
+	c := newCodec("X-Id")
+	r := request("6366cff5387c3798")
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := c.append(requestFields(r, nil), r.Body); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/pipe/outlet/bench_test.go
@@ -0,0 +1,40 @@
+package outlet
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// BenchmarkDo is one request to a target and its answer, both ends in one process.
+func BenchmarkDo(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		r := bufio.NewReader(c)
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			if _, err := c.Write([]byte(whole)); err != nil {
+				return
+			}
+		}
+	}()
+	o := newOutlet(l.Addr().String())
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := o.Do(context.Background(), []byte(request), "GET", "a"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
