--- a/cmd/fuchsiapier/cmd_check.go
+++ b/cmd/fuchsiapier/cmd_check.go
@@ -11,6 +11,7 @@
 	"fuchsiapier/internal/base/check"
 	"fuchsiapier/internal/conf/local"
 	"fuchsiapier/internal/conf/preset"
+	"fuchsiapier/platform"
 )
 
 func cmdCheck() command {
@@ -18,7 +19,7 @@
 		name:  "check",
 		args:  "FILE...",
 		short: "Check node settings and presets; every finding is printed with its place",
-		long:  "Check node settings and presets. Files whose name ends in .preset.toml are presets,\nall others are node settings. Every finding is printed with file, line and key (exit code 2).",
+		long:  "Check node settings and presets. Files whose name ends in .preset.toml are presets,\nin .platform.toml settings and in .platform.json configurations of the users' platform;\nall others are node settings. Every finding is printed with file, line and key (exit code 2).",
 		count: cobra.MinimumNArgs(1),
 		action: func(cmd *cobra.Command, _ *env, args []string) error {
 			var all check.Findings
@@ -46,10 +47,30 @@
 	if err != nil {
 		return err
 	}
-	if strings.HasSuffix(file, ".preset.toml") {
+	switch {
+	case strings.HasSuffix(file, ".preset.toml"):
 		_, err = preset.Parse(file, data)
-		return err
+	case strings.HasSuffix(file, ".platform.toml"):
+		_, err = platform.ParseSettings(file, data)
+	case strings.HasSuffix(file, ".platform.json"):
+		err = checkRecord(file, data)
+	default:
+		_, err = local.Parse(file, data)
 	}
-	_, err = local.Parse(file, data)
 	return err
 }
+
+// checkRecord checks the users' configuration record; what a node would leave out
+// is a finding too.
+func checkRecord(file string, data []byte) error {
+	_, findings, err := platform.ParseConfig(data)
+	if err != nil {
+		return check.Findings{
+			{
+				Source:  file,
+				Problem: err.Error(),
+			},
+		}
+	}
+	return findings
+}
--- a/cmd/fuchsiapier/command.go
+++ b/cmd/fuchsiapier/command.go
@@ -82,6 +82,7 @@
 		cmdStatus(),
 		cmdTimeline(),
 		cmdCheck(),
+		cmdTrace(),
 	}
 }
 
--- /dev/null
+++ b/cmd/fuchsiapier/trace_test.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"fuchsiapier/internal/base/check"
+)
+
+const sampleLog = `{"node":"b","request":"r1","time":"2026-12-04T10:00:00.300Z","message":"request answered","status":502}
+cut off {
+{"node":"c","request":"r1.a.b","time":"2026-12-04T10:00:00.200Z","message":"call refused or failed at the gate"}
+{"node":"c","request":"r10","time":"2026-12-04T10:00:00.100Z","message":"request answered"}
+{"node":"c","time":"2026-12-04T10:00:00.100Z","message":"started"}
+`
+
+func TestTrace(t *testing.T) {
+	Convey("Lines of a request and of its calls come in order of time, no others", t, func() {
+		lines, unread, err := readTrace(strings.NewReader(sampleLog), "r1")
+		So(err, ShouldBeNil)
+		So(unread, ShouldEqual, 1)
+		var out bytes.Buffer
+		So(printTrace(&out, lines, unread), ShouldBeNil)
+		text := out.String()
+		So(strings.Index(text, "r1.a.b"), ShouldBeLessThan, strings.Index(text, `"status":502`))
+		So(text, ShouldNotContainSubstring, "r10")
+		So(text, ShouldStartWith, "1 lines")
+	})
+	Convey("Nothing found is an error that says what to do", t, func() {
+		So(errors.Is(printTrace(&bytes.Buffer{}, nil, 0), errNoLines), ShouldBeTrue)
+	})
+}
+
+func TestCheckPlatformFiles(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	Convey("Settings and configurations of the platform are checked with their places", t, func() {
+		var findings check.Findings
+		err := checkFile(write("boot.platform.toml", "node_name = \"n\""))
+		So(errors.As(err, &findings), ShouldBeTrue)
+		So(err.Error(), ShouldContainSubstring, "listen.control")
+		err = checkFile(write("a.platform.json", `{"version":1,"routes":[{"host":"h"}]}`))
+		So(errors.As(err, &findings), ShouldBeTrue)
+		So(err.Error(), ShouldContainSubstring, "routes.0")
+		So(checkFile(write("b.platform.json", `{"version":1}`)), ShouldBeNil)
+		err = checkFile(write("c.platform.json", `{`))
+		So(errors.As(err, &findings), ShouldBeTrue)
+	})
+}
