Repeats: borrow beyond the request's patience, count by sliding window

A request waited 60 ms for a token of another region, 62 ms away; the tokens granted meanwhile were lost, five at a time. And half of a window's tokens came back at a steady rate, so that a second burst found the bucket at a tenth. Change: rounds of asking go on without the request that began them; a service's repeats are counted over a sliding window, each token coming back a window after it was handed out; a new keeper starts with a quarter. The share of answers lost per server must fall next.

--- a/internal/admit/retry/budget.go
+++ b/internal/admit/retry/budget.go
@@ -14,9 +14,6 @@
 	// budgetSafety is the part of the allowed repeats that is used; counts of callers'
 	// requests are estimates, and services see repeats of repeats.
 	budgetSafety = 0.8
-	// burstPart is the part of a window's repeats that may be used at once: answers
-	// are lost in bursts.
-	burstPart = 0.5
 	// rateWindow is the time constant of the estimate of callers' requests.
 	rateWindow = 10 * time.Second
 	// minCost is the least part of a repeat at a service that is charged.
@@ -85,10 +82,10 @@
 	return budget[len(budgetPrefix):], true
 }
 
-// Limit returns the rate, in repeats a second, and the burst that a failure
-// domain may use of a service's budget. The callers' requests of the fleet are
-// estimated from those at this node.
-func (b *Budget) Limit(service string) (perSecond, burst float64) {
+// Limit returns how many repeats of a service a failure domain may send within any
+// window, and the window. The callers' requests of the fleet are estimated from
+// those at this node.
+func (b *Budget) Limit(service string) (repeats float64, window time.Duration) {
 	nodes, domains := b.fleet()
 	b.mu.Lock()
 	own := 0.0
@@ -96,9 +93,8 @@
 		own = r.Value(timer.Now(), rateWindow)
 	}
 	b.mu.Unlock()
-	window := b.bounds.Ratio*own*float64(nodes)*b.bounds.Window.Seconds() + b.bounds.Slack
-	part := budgetSafety * window / float64(max(domains, 1))
-	return part * (1 - burstPart) / b.bounds.Window.Seconds(), max(1, part*burstPart)
+	allowed := b.bounds.Ratio*own*float64(nodes)*b.bounds.Window.Seconds() + b.bounds.Slack
+	return max(1, budgetSafety*allowed/float64(max(domains, 1))), b.bounds.Window
 }
 
 // Spend takes one repeat of a service, and of each service that it calls, and
@@ -133,5 +129,6 @@
 	return len(b.costs(service)) > 1
 }
 
-// spendWait bounds how long a request waits for the budget.
-const spendWait = 60 * time.Millisecond
+// spendWait bounds how long a request waits for the budget: the way to the keepers
+// of another region and back, and the hop to the own one.
+const spendWait = 150 * time.Millisecond
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -283,10 +283,10 @@
 // repeats, that the failure domain owns.
 func (a *Agent) limit(workspace string) (pool.Limit, bool) {
 	if service, ok := retry.Service(workspace); ok {
-		perSecond, burst := a.repeats.Limit(service)
+		repeats, window := a.repeats.Limit(service)
 		return pool.Limit{
-			Rate:  perSecond,
-			Burst: burst,
+			Burst:  repeats,
+			Window: window,
 		}, true
 	}
 	r := a.watcher.Current()
@@ -368,6 +368,7 @@
 func (a *Agent) tick(now timer.Instant) {
 	a.publishTarget(a.gate.State(), false)
 	a.peers.Tick(now)
+	a.tokens.Tick()
 	if time.Since(a.trimmed) < trimPeriod {
 		return
 	}
--- a/internal/quota/pool/pool.go
+++ b/internal/quota/pool/pool.go
@@ -54,10 +54,13 @@
 
 // Limit is the slice of a workspace's limit that a failure domain owns.
 type Limit struct {
-	// Rate is in tokens a second.
+	// Rate is in tokens a second; it is not used where Window is set.
 	Rate float64
 	// Burst is in tokens.
 	Burst float64
+	// Window, where set, makes Burst the tokens of any window of that length: each
+	// token comes back a window after it was handed out.
+	Window time.Duration
 }
 
 // Ask is a request for tokens of one workspace.
@@ -102,6 +105,9 @@
 	now      func() timer.Instant
 	mu       sync.Mutex
 	accounts map[string]*account
+	// keeping says that this node is the keeper, keptSince since when.
+	keeping   bool
+	keptSince timer.Instant
 }
 
 // Option configures a Pool.
@@ -154,31 +160,11 @@
 	at   timer.Instant
 }
 
-// bucket is a token bucket whose rate is given at each use.
-type bucket struct {
-	level  float64
-	filled timer.Instant
-	begun  bool
-}
-
-// fill brings a bucket up to date.
-func (b *bucket) fill(now timer.Instant, l Limit, first float64) {
-	if !b.begun {
-		b.begun = true
-		b.filled = now
-		b.level = first * l.Burst
-	}
-	dt := now.Sub(b.filled).Seconds()
-	b.filled = now
-	if b.level < l.Burst {
-		b.level = min(l.Burst, b.level+max(dt, 0)*l.Rate)
-	}
-}
-
 func (l Limit) times(part float64) Limit {
 	return Limit{
-		Rate:  l.Rate * part,
-		Burst: l.Burst * part,
+		Rate:   l.Rate * part,
+		Burst:  l.Burst * part,
+		Window: l.Window,
 	}
 }
 
@@ -195,6 +181,24 @@
 	return a
 }
 
+// Tick notes when this node becomes the keeper; it is to be called often.
+func (p *Pool) Tick() {
+	keeping := p.ring.Keeper() == p.self
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if keeping && !p.keeping {
+		p.keptSince = p.now()
+	}
+	p.keeping = keeping
+}
+
+// since returns when this node became the keeper.
+func (p *Pool) since() timer.Instant {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.keptSince
+}
+
 // Take spends a token of a workspace. It waits a bounded time for tokens and
 // otherwise says when to come back.
 func (p *Pool) Take(ctx context.Context, workspace string) (bool, time.Duration) {
@@ -213,7 +217,7 @@
 		a.mu.Lock()
 		now := p.now()
 		keeper := p.ring.Keeper()
-		if a.spend(now, limit, keeper == p.self, p.ring) {
+		if a.spend(now, limit, keeper == p.self, p) {
 			a.mu.Unlock()
 			return true, 0
 		}
@@ -224,10 +228,9 @@
 		}
 		round := a.asking
 		if round == nil {
-			a.asking = make(chan struct{})
-			a.mu.Unlock()
-			p.refill(ctx, a, workspace, limit, keeper)
-			continue
+			round = make(chan struct{})
+			a.asking = round
+			go p.refill(a, workspace, limit, keeper)
 		}
 		a.mu.Unlock()
 		select {
@@ -251,7 +254,7 @@
 }
 
 // spend takes a token from what the node holds; a.mu must be held.
-func (a *account) spend(now timer.Instant, l Limit, keeper bool, ring Ring) bool {
+func (a *account) spend(now timer.Instant, l Limit, keeper bool, p *Pool) bool {
 	if now < a.stockUntil && a.stock >= 1 {
 		a.stock--
 		return true
@@ -259,16 +262,20 @@
 	if !keeper {
 		return false
 	}
-	a.kept.fill(now, l.times(ring.Share()), firstLevel)
-	if a.kept.level >= 1 {
-		a.kept.level--
-		return true
+	part := l.times(p.ring.Share())
+	a.kept.fill(now, part, p.since(), firstLevel)
+	if a.kept.level < 1 {
+		return false
 	}
-	return false
+	a.kept.take(now, part, 1)
+	return true
 }
 
-// refill asks for tokens; a.asking must be set by the caller.
-func (p *Pool) refill(ctx context.Context, a *account, workspace string, l Limit, keeper string) {
+// refill asks for tokens; a.asking must be set by the caller. It does not end with
+// the request that began it: what is granted on the way serves the next one.
+func (p *Pool) refill(a *account, workspace string, l Limit, keeper string) {
+	ctx, cancel := context.WithTimeout(context.Background(), keeperWait)
+	defer cancel()
 	a.mu.Lock()
 	now := p.now()
 	demand := a.demand.Value(now, demandWindow)
@@ -282,12 +289,10 @@
 	var grant Grant
 	var err error
 	if keeper == p.self {
-		p.borrow(ctx, a, ask)
+		p.borrow(ctx, a, l, ask)
 		grant = p.give(a, ask, l)
 	} else {
-		asking, cancel := context.WithTimeout(ctx, keeperWait)
-		grant, err = p.ring.Ask(asking, keeper, ask)
-		cancel()
+		grant, err = p.ring.Ask(ctx, keeper, ask)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -318,9 +323,9 @@
 // must be held.
 func (a *account) fallBack(now timer.Instant, l Limit, ring Ring) Grant {
 	part := l.times(ring.Alone())
-	a.alone.fill(now, part, aloneLevel)
+	a.alone.fill(now, part, a.alone.start(now), aloneLevel)
 	if a.alone.level >= 1 {
-		a.alone.level--
+		a.alone.take(now, part, 1)
 		return Grant{
 			Amount: 1,
 		}
@@ -347,7 +352,7 @@
 	if g := p.give(a, ask, l); g.Amount >= 1 || ask.Foreign || p.ring.Keeper() != p.self {
 		return g
 	}
-	p.borrow(ctx, a, ask)
+	p.borrow(ctx, a, l, ask)
 	return p.give(a, ask, l)
 }
 
@@ -357,7 +362,7 @@
 	defer a.mu.Unlock()
 	now := p.now()
 	part := l.times(p.ring.Share())
-	a.kept.fill(now, part, firstLevel)
+	a.kept.fill(now, part, p.since(), firstLevel)
 	spare := a.kept.level
 	if ask.Foreign {
 		spare -= a.domainDemand(now) * reserveTime.Seconds()
@@ -373,7 +378,7 @@
 			RetryMillis: retryMillis((1-a.kept.level)*max(1, float64(len(a.reports))), part.Rate),
 		}
 	}
-	a.kept.level -= amount
+	a.kept.take(now, part, amount)
 	return Grant{
 		Amount: amount,
 	}
@@ -392,51 +397,57 @@
 	return sum
 }
 
-// borrow asks the keepers of other domains for what the domain needs soon.
-// Concurrent calls share a round.
-func (p *Pool) borrow(ctx context.Context, a *account, ask Ask) {
+// borrow asks the keepers of other domains for what the domain needs soon, and
+// waits for it while ctx lasts. Concurrent calls share a round, which goes on
+// without them: grants under way would be lost otherwise.
+func (p *Pool) borrow(ctx context.Context, a *account, l Limit, ask Ask) {
 	a.mu.Lock()
 	now := p.now()
 	if now < a.domainDry {
 		a.mu.Unlock()
 		return
 	}
-	if round := a.borrowing; round != nil {
-		a.mu.Unlock()
-		select {
-		case <-round:
-		case <-ctx.Done():
-		}
-		return
+	round := a.borrowing
+	if round == nil {
+		round = make(chan struct{})
+		a.borrowing = round
+		want := math.Ceil(max(ask.Want, a.domainDemand(now)*stockLife.Seconds()/2))
+		go p.collect(a, l, Ask{
+			Workspace: ask.Workspace,
+			From:      p.self,
+			Want:      want,
+			Foreign:   true,
+		})
 	}
-	round := make(chan struct{})
-	a.borrowing = round
-	want := math.Ceil(max(ask.Want, a.domainDemand(now)*stockLife.Seconds()/2))
 	a.mu.Unlock()
-	got := p.askKeepers(ctx, Ask{
-		Workspace: ask.Workspace,
-		From:      p.self,
-		Want:      want,
-		Foreign:   true,
-	})
+	select {
+	case <-round:
+	case <-ctx.Done():
+	}
+}
+
+// collect is one round of asking the other domains; a.borrowing must be set.
+func (p *Pool) collect(a *account, l Limit, ask Ask) {
+	got := p.askKeepers(ask)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.kept.level += got
+	now := p.now()
+	a.kept.add(now, l, got)
 	if got < 1 {
-		a.domainDry = p.now().Add(domainDryTime)
+		a.domainDry = now.Add(domainDryTime)
 	}
+	close(a.borrowing)
 	a.borrowing = nil
-	close(round)
 }
 
 // askKeepers asks the keepers of the other domains at the same time, each for its part.
-func (p *Pool) askKeepers(ctx context.Context, ask Ask) float64 {
+func (p *Pool) askKeepers(ask Ask) float64 {
 	keepers := p.ring.Keepers()
 	if len(keepers) == 0 {
 		return 0
 	}
 	ask.Want = math.Ceil(ask.Want / float64(len(keepers)))
-	ctx, cancel := context.WithTimeout(ctx, domainWait)
+	ctx, cancel := context.WithTimeout(context.Background(), domainWait)
 	defer cancel()
 	got := make(chan float64, len(keepers))
 	for _, k := range keepers {
