Overload is refused at the entry, by the waits along the path

Cause: after power comes back the targets are cold and inspect, called four times by most requests, is full for 3 s. Change: the graph is followed over all hops; a new request is refused with a chance that grows with the wait expected on its path, the least urgent first, and told to come back after 0.4 to 1.6 s; its token goes back.

--- a/internal/admit/graph/graph.go
+++ b/internal/admit/graph/graph.go
@@ -104,3 +104,36 @@
 	}
 	return costs
 }
+
+const (
+	// maxDepth bounds how far calls are followed: the deepest call graphs that the
+	// users tell of.
+	maxDepth = 21
+	// minReach is the least number of calls that is followed further.
+	minReach = 0.02
+)
+
+// Reach returns how many calls a request to a service brings to each service, itself
+// included, over all hops.
+func Reach(service string, edges map[string][]Edge) map[string]float64 {
+	reach := map[string]float64{}
+	layer := map[string]float64{
+		service: 1,
+	}
+	for range maxDepth {
+		next := map[string]float64{}
+		for from, calls := range layer {
+			reach[from] += calls
+			for _, e := range edges[from] {
+				if n := calls * float64(e.PerCent) / 100; n >= minReach {
+					next[e.Service] += n
+				}
+			}
+		}
+		if len(next) == 0 {
+			break
+		}
+		layer = next
+	}
+	return reach
+}
--- a/internal/admit/graph/graph_test.go
+++ b/internal/admit/graph/graph_test.go
@@ -24,6 +24,22 @@
 	})
 }
 
+func TestReach(t *testing.T) {
+	edges := map[string][]Edge{
+		"quota":    {{Service: "permits", PerCent: 100}},
+		"permits":  {{Service: "landings", PerCent: 50}, {Service: "stray", PerCent: 1}},
+		"landings": {{Service: "inspect", PerCent: 400}},
+		"loop":     {{Service: "loop", PerCent: 50}},
+	}
+	Convey("Calls are followed over all hops, with their numbers", t, func() {
+		So(Reach("quota", edges), ShouldResemble, map[string]float64{"quota": 1, "permits": 1, "landings": 0.5, "inspect": 2})
+		So(Reach("inspect", edges), ShouldResemble, map[string]float64{"inspect": 1})
+	})
+	Convey("A service that calls itself ends", t, func() {
+		So(Reach("loop", edges)["loop"], ShouldAlmostEqual, 2, 0.1)
+	})
+}
+
 func TestCounter(t *testing.T) {
 	Convey("Edges are calls for each run, told once enough runs were seen", t, func() {
 		c := NewCounter()
--- a/internal/conf/rules/rules.go
+++ b/internal/conf/rules/rules.go
@@ -93,6 +93,8 @@
 	services   map[string]Service
 	workspaces map[Digest]*Workspace
 	byName     map[string]*Workspace
+	// lowest is the rank of the least urgent route.
+	lowest int
 }
 
 // New indexes a configuration. The content must not be changed afterwards.
@@ -111,6 +113,7 @@
 			r.byHost[host] = map[string]*Route{}
 		}
 		r.byHost[host][route.Prefix] = route
+		r.lowest = max(r.lowest, route.Priority)
 	}
 	for _, s := range c.Services {
 		r.services[s.Name] = s
@@ -125,6 +128,11 @@
 	return r
 }
 
+// Lowest returns the rank of the least urgent route.
+func (r *Rules) Lowest() int {
+	return r.lowest
+}
+
 // Version returns the configuration's version.
 func (r *Rules) Version() int64 {
 	return r.content.Version
--- a/internal/mesh/peers/view.go
+++ b/internal/mesh/peers/view.go
@@ -1,7 +1,11 @@
 package peers
 
 import (
+	"sync"
+	"time"
+
 	"fuchsiapier/internal/admit/graph"
+	"fuchsiapier/internal/admit/shed"
 	"fuchsiapier/internal/mesh/rank"
 )
 
@@ -15,6 +19,8 @@
 	keeper   string
 	keepers  []string
 	suspects map[string]bool
+	// edges are the calls between services, summed up when first asked for.
+	edges func() map[string][]graph.Edge
 }
 
 // View returns the current picture.
@@ -32,6 +38,7 @@
 		keeper:   self.Name,
 		suspects: map[string]bool{},
 	}
+	v.edges = sync.OnceValue(v.sumEdges)
 	v.add(self)
 	for _, n := range others {
 		v.add(n)
@@ -114,6 +121,37 @@
 // Costs returns how many arrivals a request to a service brings to each service,
 // as the nodes have counted them.
 func (v *View) Costs(service string) map[string]float64 {
+	return graph.Costs(service, v.edges())
+}
+
+// Path returns what a request to a service meets at each service that it reaches:
+// the calls that it brings and the wait for a target.
+func (v *View) Path(service string) []shed.Stop {
+	var path []shed.Stop
+	for s, calls := range graph.Reach(service, v.edges()) {
+		path = append(path, shed.Stop{
+			Calls: calls,
+			Wait:  v.wait(s),
+		})
+	}
+	return path
+}
+
+// wait returns the least wait for a target of a service: in the own domain, where
+// most calls stay, or else anywhere.
+func (v *View) wait(service string) time.Duration {
+	least, own := uint16(0), false
+	for i, n := range v.byTarget[service] {
+		home := n.Domain == v.self.Domain
+		if i == 0 || home && !own || home == own && n.WaitMillis < least {
+			least, own = n.WaitMillis, home
+		}
+	}
+	return time.Duration(least) * time.Millisecond
+}
+
+// sumEdges takes the mean of what the nodes of each service have counted.
+func (v *View) sumEdges() map[string][]graph.Edge {
 	sums := map[string]map[string]int{}
 	counted := map[string]int{}
 	for _, n := range v.nodes {
@@ -137,7 +175,7 @@
 			})
 		}
 	}
-	return graph.Costs(service, edges)
+	return edges
 }
 
 // Fleet counts the live nodes and the failure domains that they are in.
--- a/internal/node/call/call.go
+++ b/internal/node/call/call.go
@@ -91,6 +91,7 @@
 	Stopped     Reason = "caller-gone"
 	Timeout     Reason = "timeout"
 	Suspect     Reason = "crashes-targets"
+	Overloaded  Reason = "path-overloaded"
 )
 
 // Result is the outcome of a call with what goes with it.
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -53,6 +53,8 @@
 // Tokens keeps workspaces within their limits.
 type Tokens interface {
 	Take(ctx context.Context, workspace string) (ok bool, retryAfter time.Duration)
+	// Return gives back the token of a request that was not run.
+	Return(workspace string)
 }
 
 // Repeats bounds repeated sends to each service.
@@ -160,6 +162,8 @@
 	denied bool
 	// ran says that a target may have run the request.
 	ran bool
+	// pathWait is how long it was expected to wait for targets, over all hops.
+	pathWait time.Duration
 }
 
 func (q *request) lose(node string) {
@@ -205,6 +209,9 @@
 	} else {
 		e.repeats.First(q.service)
 	}
+	if refusal, why := e.enter(r, q); refusal != nil {
+		return refusal, why
+	}
 	return e.dispatch(ctx, q)
 }
 
@@ -368,7 +375,7 @@
 		line = line.Str("workspace", q.workspace.Name)
 	}
 	if q.call != nil {
-		line = line.Int64("left-ms", time.Until(q.call.Deadline).Milliseconds())
+		line = line.Int64("left-ms", time.Until(q.call.Deadline).Milliseconds()).Int64("path-wait-ms", q.pathWait.Milliseconds())
 	}
 	line.Msg("request answered")
 }
--- a/internal/node/entry/entry_test.go
+++ b/internal/node/entry/entry_test.go
@@ -41,8 +41,11 @@
 	tokens  bool
 	spends  int
 	deep    bool
-	entry   *Entry
-	rules   *rules.Rules
+	// view is shown in place of one of the scripted nodes, where it is set.
+	view     *peers.View
+	returned int
+	entry    *Entry
+	rules    *rules.Rules
 }
 
 func node(name, domain, region string) peers.Node {
@@ -70,6 +73,7 @@
 			Routes: []rules.Route{
 				route("/safe/", true),
 				route("/once/", false),
+				publicRoute("/public/"),
 			},
 			Keyrings: []rules.Keyring{
 				{
@@ -109,9 +113,18 @@
 	}
 }
 
+func publicRoute(prefix string) rules.Route {
+	r := route(prefix, true)
+	r.Public = true
+	return r
+}
+
 func (w *world) View() *peers.View {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.view != nil {
+		return w.view
+	}
 	others := []peers.Node{}
 	for name := range w.scripts {
 		if name != "home" {
@@ -142,6 +155,9 @@
 func (w *world) Take(context.Context, string) (bool, time.Duration) {
 	return w.tokens, 300 * time.Millisecond
 }
+
+func (w *world) Return(string) { w.returned++ }
+
 func (w *world) First(string) {}
 
 func (w *world) Called(timer.Instant, string) {}
