Entry refusals: only where calls are turned away, and not for requests that make none

Change: the chance grows with the share of calls that found no room or no time on the path; the wait counts no more than callers' own requests run at their first service; bounds 0.15 and 0.45. The running shares of gate move to base/decay.

--- a/internal/admit/shed/shed.go
+++ b/internal/admit/shed/shed.go
@@ -7,14 +7,20 @@
 // Microservices" (2018), but by expected waits in place of levels.
 package shed
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// calmPart is the part of its time that a request of the lowest rank may be expected
 	// to wait before some are refused: half of what a path usually takes is 0.2 to 0.3.
-	calmPart = 0.1
+	calmPart = 0.15
 	// fullPart is the part at which all of the lowest rank are refused.
-	fullPart = 0.3
+	fullPart = 0.45
+	// sureLoss is the chance to be turned away halfway at which waits are acted on in
+	// full: waits alone, where all calls make their time, harm nobody.
+	sureLoss = 0.1
 	// minRetry and maxRetry bound when a refused request should come back; the time
 	// between grows with the overload. A cold target takes some seconds.
 	minRetry = 400 * time.Millisecond
@@ -27,26 +33,51 @@
 	Calls float64
 	// Wait is how long a call waits there for a slot.
 	Wait time.Duration
+	// Turned is the share of calls that found no room or no time there.
+	Turned float64
+}
+
+// Path is what a request meets on its way.
+type Path struct {
+	// Stops has the services that it reaches, in no order.
+	Stops []Stop
+	// Run is how long such requests run at their first service, with the waits of
+	// their calls, 0 where it is not known. Other requests of the same service may make
+	// calls that these do not make.
+	Run time.Duration
 }
 
-// Expected returns how long a request waits on its path in all. Calls are taken to
-// follow each other, which most targets do.
-func Expected(path []Stop) time.Duration {
+// Wait returns how long a request is expected to wait on its path in all. Calls are
+// taken to follow each other, which most targets do.
+func (p Path) Wait() time.Duration {
 	sum := 0.0
-	for _, s := range path {
+	for _, s := range p.Stops {
 		sum += s.Calls * float64(s.Wait)
 	}
+	if p.Run > 0 {
+		return min(time.Duration(sum), p.Run)
+	}
 	return time.Duration(sum)
 }
 
-// Odds returns the chance, from 0 to 1, that a request is refused: expected is its
-// wait, left the time that it has, above the number of ranks that are less urgent.
-func Odds(expected, left time.Duration, above int) float64 {
+// Loss returns the chance that one of the request's calls is turned away.
+func (p Path) Loss() float64 {
+	through := 1.0
+	for _, s := range p.Stops {
+		through *= math.Pow(1-min(max(s.Turned, 0), 1), s.Calls)
+	}
+	return 1 - through
+}
+
+// Odds returns the chance, from 0 to 1, that a request is refused: left is the time
+// that it has, above the number of ranks that are less urgent.
+func (p Path) Odds(left time.Duration, above int) float64 {
 	if left <= 0 {
 		return 0
 	}
-	part := float64(expected) / float64(left) / float64(1+max(above, 0))
-	return min(max((part-calmPart)/(fullPart-calmPart), 0), 1)
+	part := float64(p.Wait()) / float64(left) / float64(1+max(above, 0))
+	crowded := min(max((part-calmPart)/(fullPart-calmPart), 0), 1)
+	return crowded * min(p.Loss()/sureLoss, 1)
 }
 
 // RetryAfter returns when a request that was refused with such odds should come back.
--- a/internal/mesh/peers/view.go
+++ b/internal/mesh/peers/view.go
@@ -124,30 +124,33 @@
 	return graph.Costs(service, v.edges())
 }
 
-// Path returns what a request to a service meets at each service that it reaches:
-// the calls that it brings and the wait for a target.
-func (v *View) Path(service string) []shed.Stop {
-	var path []shed.Stop
+// Path returns what a caller's request to a service meets on its way.
+func (v *View) Path(service string) shed.Path {
+	path := shed.Path{
+		Run: time.Duration(v.nearest(service).CallersMillis) * time.Millisecond,
+	}
 	for s, calls := range graph.Reach(service, v.edges()) {
-		path = append(path, shed.Stop{
-			Calls: calls,
-			Wait:  v.wait(s),
+		n := v.nearest(s)
+		path.Stops = append(path.Stops, shed.Stop{
+			Calls:  calls,
+			Wait:   time.Duration(n.WaitMillis) * time.Millisecond,
+			Turned: float64(n.TurnedPerMille) / 1000,
 		})
 	}
 	return path
 }
 
-// wait returns the least wait for a target of a service: in the own domain, where
-// most calls stay, or else anywhere.
-func (v *View) wait(service string) time.Duration {
-	least, own := uint16(0), false
+// nearest returns the node with the least wait for a target of a service: in the own
+// domain, where most calls stay, or else anywhere.
+func (v *View) nearest(service string) Node {
+	best, own := Node{}, false
 	for i, n := range v.byTarget[service] {
 		home := n.Domain == v.self.Domain
-		if i == 0 || home && !own || home == own && n.WaitMillis < least {
-			least, own = n.WaitMillis, home
+		if i == 0 || home && !own || home == own && n.WaitMillis < best.WaitMillis {
+			best, own = n, home
 		}
 	}
-	return time.Duration(least) * time.Millisecond
+	return best
 }
 
 // sumEdges takes the mean of what the nodes of each service have counted.
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -351,7 +351,9 @@
 		n.Open = s.Open
 		n.WaitMillis = shortMillis(s.Wait)
 		n.ServiceMillis = shortMillis(s.ServiceTime)
+		n.CallersMillis = shortMillis(s.CallersTime)
 		n.FailPercent = uint8(100 * s.FailShare)
+		n.TurnedPerMille = uint16(1000 * s.TurnedShare)
 		n.Calls = a.graph.Edges(timer.Now())
 	})
 }
--- a/internal/node/entry/enter.go
+++ b/internal/node/entry/enter.go
@@ -31,9 +31,11 @@
 
 // odds notes the wait on the path of a request and returns its chance to be refused.
 func (e *Entry) odds(r *rules.Rules, q *request) float64 {
-	q.pathWait = shed.Expected(e.fleet.View().Path(q.service))
+	path := e.fleet.View().Path(q.service)
+	q.pathWait = path.Wait()
 	if q.pathWait == 0 {
 		return 0
 	}
-	return shed.Odds(q.pathWait, time.Until(q.call.Deadline), r.Lowest()-q.call.Priority)
+	q.pathLoss = path.Loss()
+	return path.Odds(time.Until(q.call.Deadline), r.Lowest()-q.call.Priority)
 }
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -164,6 +164,8 @@
 	ran bool
 	// pathWait is how long it was expected to wait for targets, over all hops.
 	pathWait time.Duration
+	// pathLoss is the chance that one of its calls would be turned away.
+	pathLoss float64
 }
 
 func (q *request) lose(node string) {
@@ -389,7 +391,8 @@
 		line = line.Str("workspace", q.workspace.Name)
 	}
 	if q.call != nil {
-		line = line.Int64("left-ms", time.Until(q.call.Deadline).Milliseconds()).Int64("path-wait-ms", q.pathWait.Milliseconds())
+		line = line.Int64("left-ms", time.Until(q.call.Deadline).Milliseconds()).
+			Int64("path-wait-ms", q.pathWait.Milliseconds()).Int("path-loss-percent", int(100*q.pathLoss))
 	}
 	line.Msg("request answered")
 }
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -11,6 +11,7 @@
 
 	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/admit/limit"
+	"fuchsiapier/internal/base/decay"
 	"fuchsiapier/internal/node/call"
 	"fuchsiapier/internal/pipe/msg"
 	"fuchsiapier/internal/pipe/outlet"
@@ -32,6 +33,16 @@
 	unknownSlots = 8
 	// headRoom is what the header of most requests needs, in bytes.
 	headRoom = 768
+	// failWeight is the weight of one more result in the share of failures.
+	failWeight = 0.1
+	// failHalfLife is the time in which the share halves without results, so that a
+	// target that was avoided is tried again.
+	failHalfLife = 3 * time.Second
+	// turnedWeight is the weight of one more call in the share of those turned away; a
+	// few in a hundred matter.
+	turnedWeight = 0.02
+	// turnedHalfLife is the time in which that share halves without calls.
+	turnedHalfLife = 1 * time.Second
 	// tombstones bounds the remembered IDs of targets that have left.
 	tombstones = 64
 )
@@ -55,9 +66,12 @@
 	waiting   map[*limit.Ticket]chan bool
 	left      map[string]int64
 	leftOrder []string
-	failures  failures
+	failed    decay.Share
+	turned    decay.Share
 	mean      mean
-	deaths    deaths
+	// callers is the mean of callers' own requests alone.
+	callers mean
+	deaths  deaths
 }
 
 // Option configures a Gate.
@@ -107,6 +121,11 @@
 		ran:     func() {},
 		docket:  clear{},
 		log:     zerolog.Nop(),
+		failed:  newFailed(),
+		turned: decay.Share{
+			Weight:   turnedWeight,
+			HalfLife: turnedHalfLife,
+		},
 		deaths:  newDeaths(),
 		limiter: limit.New(unknownSlots),
 		waiting: map[*limit.Ticket]chan bool{},
@@ -118,6 +137,13 @@
 	return g, g.close
 }
 
+func newFailed() decay.Share {
+	return decay.Share{
+		Weight:   failWeight,
+		HalfLife: failHalfLife,
+	}
+}
+
 func (g *Gate) close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -152,7 +178,9 @@
 		Limit:   g.limiter.Limit(),
 
 		ServiceTime: g.mean.value(time.Now()),
-		FailShare:   g.failures.share(time.Now()),
+		CallersTime: g.callers.value(time.Now()),
+		FailShare:   g.failed.Value(time.Now()),
+		TurnedShare: g.turned.Value(time.Now()),
 	}
 }
 
--- a/internal/node/gate/send.go
+++ b/internal/node/gate/send.go
@@ -31,10 +31,14 @@
 	g.limiter.Finish(timer.Now(), t, took, effect(result))
 	if result.Outcome == call.Answered {
 		g.mean.add(time.Now(), took)
+		if !c.Nested {
+			g.callers.add(time.Now(), took)
+		}
 	}
 	g.deaths.end(time.Now(), t, result.Reason == call.Lost)
-	failed, counts := failing(result)
-	g.failures.add(time.Now(), failed, counts)
+	if failed, counts := failing(result); counts {
+		g.failed.Add(time.Now(), failed)
+	}
 	woken := g.next()
 	g.mu.Unlock()
 	wake(woken)
--- a/internal/node/gate/target.go
+++ b/internal/node/gate/target.go
@@ -34,8 +34,12 @@
 	Limit   int
 	// ServiceTime is the mean time that the target takes for a request.
 	ServiceTime time.Duration
+	// CallersTime is the same for callers' own requests, without nested calls.
+	CallersTime time.Duration
 	// FailShare is the recent part of requests that the target failed.
 	FailShare float64
+	// TurnedShare is the recent part of calls that found no room or no time.
+	TurnedShare float64
 }
 
 // Expect sets the target that the settings name, until it announces itself.
@@ -112,8 +116,8 @@
 		g.limiter.Resize(t.Slots)
 	}
 	if restarted {
-		g.mean = mean{}
-		g.failures = failures{}
+		g.mean, g.callers = mean{}, mean{}
+		g.failed = newFailed()
 	}
 	g.target = t
 	g.known = true
