Slots of runs that last far longer than others go to the next call

At one of its targets 38 calls a second lose their answers without a word; each holds one of 13 slots until its caller leaves, 235 ms where a run takes 11 ms: 9 slots of 13 wait for nothing. Ruled out: a slow target (its answered runs take 11 ms), requests that run alone, broken connections (those end at once and free their slot). Change: a run that lasts five times the mean, and 50 ms at least, gives its slot up; no more than the limit do, which the target's own queue can take.

--- a/internal/admit/limit/limit.go
+++ b/internal/admit/limit/limit.go
@@ -5,6 +5,7 @@
 package limit
 
 import (
+	"slices"
 	"time"
 
 	"fuchsiapier/internal/base/timer"
@@ -23,6 +24,11 @@
 	queueFactor = 4
 	// minQueue is the least bound of the queue, in requests.
 	minQueue = 4
+	// overdueFactor is how many times the mean a request may run before its slot goes to
+	// the next: work with a heavy tail takes five times the mean at most 1 time in 100.
+	overdueFactor = 5
+	// minOverdue is the least time before that.
+	minOverdue = 50 * time.Millisecond
 )
 
 // Verdict is what becomes of an offered request.
@@ -51,7 +57,10 @@
 	// it is not set, nested calls and then the priority decide.
 	Due      timer.Instant
 	queuedAt timer.Instant
-	sequence uint64
+	began    timer.Instant
+	// reclaimed says that the request runs without a slot.
+	reclaimed bool
+	sequence  uint64
 }
 
 // before reports whether t is started ahead of o.
@@ -70,9 +79,13 @@
 
 // Limiter is not safe for concurrent use.
 type Limiter struct {
-	slots     int
-	limit     float64
-	running   int
+	slots   int
+	limit   float64
+	running int
+	// holders are the requests with a slot, the oldest first.
+	holders []*Ticket
+	// reclaimed counts the requests that run without a slot.
+	reclaimed int
 	alone     bool
 	queue     []*Ticket
 	sequence  uint64
@@ -216,13 +229,15 @@
 	case l.alone:
 		return false
 	case t.Alone:
-		return l.running == 0
+		return l.running+l.reclaimed == 0
 	}
 	return l.running < int(l.limit)
 }
 
 func (l *Limiter) start(now timer.Instant, t *Ticket) {
 	l.running++
+	l.holders = append(l.holders, t)
+	t.began = now
 	l.alone = t.Alone
 	l.waited += now.Sub(t.queuedAt)
 	l.started++
@@ -264,7 +279,7 @@
 
 // Finish ends a run and adapts the limit.
 func (l *Limiter) Finish(now timer.Instant, t *Ticket, took time.Duration, r Result) {
-	l.running--
+	l.leave(t)
 	if t.Alone {
 		l.alone = false
 	}
@@ -283,6 +298,41 @@
 	}
 }
 
+// leave takes a request that has ended off its slot.
+func (l *Limiter) leave(t *Ticket) {
+	if t.reclaimed {
+		l.reclaimed--
+		return
+	}
+	l.running--
+	if i := slices.Index(l.holders, t); i >= 0 {
+		l.holders = slices.Delete(l.holders, i, i+1)
+	}
+}
+
+// Reclaim takes the slots of requests that run far longer than others do and reports
+// whether there were any: their answers are probably lost, and the target works on
+// something else by now. No more than the limit run without a slot, which a target's own
+// queue can take if it is only slow.
+func (l *Limiter) Reclaim(now timer.Instant) bool {
+	if l.service == 0 || l.fixed {
+		return false
+	}
+	bound := max(minOverdue, overdueFactor*l.service)
+	before := l.reclaimed
+	for len(l.holders) > 0 && l.reclaimed < int(l.limit) {
+		t := l.holders[0]
+		if t.Alone || now.Sub(t.began) < bound {
+			break
+		}
+		t.reclaimed = true
+		l.reclaimed++
+		l.running--
+		l.holders = l.holders[1:]
+	}
+	return l.reclaimed > before
+}
+
 func (l *Limiter) observe(took time.Duration) {
 	if l.service == 0 {
 		l.service = took
--- a/internal/admit/limit/limit_test.go
+++ b/internal/admit/limit/limit_test.go
@@ -137,3 +137,84 @@
 		}
 	})
 }
+
+// TestAnswersLostInSilence has a target whose answers are lost now and then, without
+// a word: callers leave such calls only much later. Their slots go on.
+func TestAnswersLostInSilence(t *testing.T) {
+	// play offers a call each 3 ms to 10 slots; runs take 10 ms, every tenth is lost and
+	// left after 300 ms. It returns how many had started after a second.
+	play := func(l *Limiter) int {
+		type run struct {
+			t    *Ticket
+			ends int
+			lost bool
+		}
+		var runs []run
+		started := 0
+		begin := func(ms int, k *Ticket) {
+			started++
+			r := run{
+				t:    k,
+				ends: ms + 10,
+				lost: started%10 == 0,
+			}
+			if r.lost {
+				r.ends = ms + 300
+			}
+			runs = append(runs, r)
+		}
+		for ms := range 1000 {
+			kept := runs[:0]
+			for _, r := range runs {
+				switch {
+				case r.ends > ms:
+					kept = append(kept, r)
+				case r.lost:
+					l.Finish(at(ms), r.t, 0, Neutral)
+				default:
+					l.Finish(at(ms), r.t, 10*time.Millisecond, Clean)
+				}
+			}
+			runs = kept
+			l.Reclaim(at(ms))
+			if ms%3 == 0 {
+				k := ticket(1, ms+200)
+				if v, _ := l.Offer(at(ms), k); v == Started {
+					begin(ms, k)
+				}
+			}
+			for k, _ := l.Next(at(ms)); k != nil; k, _ = l.Next(at(ms)) {
+				begin(ms, k)
+			}
+		}
+		return started
+	}
+	Convey("Nearly all calls start although the lost ones would fill all slots", t, func() {
+		l := New(10)
+		l.Warm(10)
+		So(play(l), ShouldBeGreaterThan, 320)
+	})
+	Convey("No more than the limit run without a slot, and each request ends once", t, func() {
+		l := New(4)
+		l.Warm(4)
+		k := ticket(1, 1000)
+		l.Offer(at(0), k)
+		l.Finish(at(10), k, 10*time.Millisecond, Clean)
+		var all []*Ticket
+		for i := range 12 {
+			k := ticket(1, 10_000)
+			l.Offer(at(10+100*i), k)
+			all = append(all, k)
+			l.Reclaim(at(10 + 100*i))
+			l.Next(at(10 + 100*i))
+		}
+		So(l.Running(), ShouldEqual, 4)
+		So(l.Waiting(), ShouldEqual, 4)
+		for _, k := range all {
+			if !l.Cancel(k) {
+				l.Finish(at(5000), k, 0, Neutral)
+			}
+		}
+		So(l.Running(), ShouldEqual, 0)
+	})
+}
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -368,6 +368,7 @@
 }
 
 func (a *Agent) tick(now timer.Instant) {
+	a.gate.Tick()
 	a.publishTarget(a.gate.State(), false)
 	a.peers.Tick(now)
 	a.tokens.Tick()
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -12,6 +12,7 @@
 	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/admit/limit"
 	"fuchsiapier/internal/base/decay"
+	"fuchsiapier/internal/base/timer"
 	"fuchsiapier/internal/node/call"
 	"fuchsiapier/internal/pipe/msg"
 	"fuchsiapier/internal/pipe/outlet"
@@ -184,6 +185,17 @@
 	}
 }
 
+// Tick gives the slots of overdue runs to what waits.
+func (g *Gate) Tick() {
+	g.mu.Lock()
+	var woken []chan bool
+	if g.limiter.Reclaim(timer.Now()) {
+		woken = g.next()
+	}
+	g.mu.Unlock()
+	wake(woken)
+}
+
 // Trim closes connections to the target that were idle for too long.
 func (g *Gate) Trim(now time.Time) {
 	g.mu.Lock()
--- a/internal/node/gate/serve.go
+++ b/internal/node/gate/serve.go
@@ -103,6 +103,9 @@
 		g.mu.Unlock()
 		return notRun(reason, downTime), false
 	}
+	if g.limiter.Reclaim(timer.Now()) {
+		wake(g.next())
+	}
 	wait := g.limiter.Wait(t)
 	if wait > c.Patience {
 		g.mu.Unlock()
