Calls turned away are counted where they begin

Cause: the gates counted each refusal, also of calls that the next gate served: the chance to be turned away read 30 to 94 in 100 in a domain whose requests all came through. And in an overload that lasts, queues stay short, since calls are refused before they wait: 133 of 976 requests of the lowest rank were refused in 2 s while 500 failed. Ruled out: gates' refusals as the signal; failures of callers' requests alone (lost answers fail them too). Change: the node beside the caller counts how its target's calls end and tells it with the edge; where both those and the callers' own requests fail, requests are refused with a chance from a tenth to half of them.

--- a/internal/admit/graph/graph.go
+++ b/internal/admit/graph/graph.go
@@ -18,6 +18,11 @@
 	window = 10 * time.Second
 	// minRuns is how many runs must have been counted before the ratio is told.
 	minRuns = 5
+	// turnedWeight is the weight of one more call in the share of those turned away; a
+	// few in a hundred matter.
+	turnedWeight = 0.02
+	// turnedHalfLife is the time in which that share halves without calls.
+	turnedHalfLife = 1 * time.Second
 	// minCalls is the least ratio that is told; stray calls are no edge.
 	minCalls = 0.02
 )
@@ -28,6 +33,8 @@
 	Service string
 	// PerCent is the number of calls for a hundred runs.
 	PerCent uint16
+	// TurnedPerMille is how many of a thousand calls found no room or no time lately.
+	TurnedPerMille uint16
 }
 
 // Counter counts the runs and calls of the target on one VM; it is safe for
@@ -35,13 +42,19 @@
 type Counter struct {
 	mu    sync.Mutex
 	runs  decay.Sum
-	calls map[string]*decay.Sum
+	calls map[string]*callee
+}
+
+// callee is what is counted of the calls to one service.
+type callee struct {
+	calls  decay.Sum
+	turned decay.Share
 }
 
 // NewCounter returns an empty counter.
 func NewCounter() *Counter {
 	return &Counter{
-		calls: map[string]*decay.Sum{},
+		calls: map[string]*callee{},
 	}
 }
 
@@ -52,16 +65,34 @@
 	c.runs.Add(now, window, 1)
 }
 
+// callee must be called with c.mu held.
+func (c *Counter) callee(service string) *callee {
+	k, ok := c.calls[service]
+	if !ok {
+		k = &callee{
+			turned: decay.Share{
+				Weight:   turnedWeight,
+				HalfLife: turnedHalfLife,
+			},
+		}
+		c.calls[service] = k
+	}
+	return k
+}
+
 // Called counts a call of the target to a service.
 func (c *Counter) Called(now timer.Instant, service string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	d, ok := c.calls[service]
-	if !ok {
-		d = &decay.Sum{}
-		c.calls[service] = d
-	}
-	d.Add(now, window, 1)
+	c.callee(service).calls.Add(now, window, 1)
+}
+
+// Ended counts how a call ended: turned says that it found no room or no time
+// anywhere.
+func (c *Counter) Ended(now time.Time, service string, turned bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.callee(service).turned.Add(now, turned)
 }
 
 // Reset forgets what another target did on the VM.
@@ -81,11 +112,12 @@
 		return nil
 	}
 	var out []Edge
-	for service, d := range c.calls {
-		if ratio := d.Value(now, window) / runs; ratio >= minCalls {
+	for service, k := range c.calls {
+		if ratio := k.calls.Value(now, window) / runs; ratio >= minCalls {
 			out = append(out, Edge{
-				Service: service,
-				PerCent: uint16(min(math.Round(100*ratio), math.MaxUint16)),
+				Service:        service,
+				PerCent:        uint16(min(math.Round(100*ratio), math.MaxUint16)),
+				TurnedPerMille: uint16(math.Round(1000 * k.turned.Value(time.Now()))),
 			})
 		}
 	}
@@ -113,20 +145,30 @@
 	minReach = 0.02
 )
 
-// Reach returns how many calls a request to a service brings to each service, itself
-// included, over all hops.
-func Reach(service string, edges map[string][]Edge) map[string]float64 {
-	reach := map[string]float64{}
+// Reached is what a request brings to a service.
+type Reached struct {
+	// Calls is how many calls come there.
+	Calls float64
+	// Turned is the share of them that find no room or no time.
+	Turned float64
+}
+
+// Reach returns what a request to a service brings to each service, itself included,
+// over all hops.
+func Reach(service string, edges map[string][]Edge) map[string]Reached {
+	calls := map[string]float64{}
+	turned := map[string]float64{}
 	layer := map[string]float64{
 		service: 1,
 	}
 	for range maxDepth {
 		next := map[string]float64{}
-		for from, calls := range layer {
-			reach[from] += calls
+		for from, n := range layer {
+			calls[from] += n
 			for _, e := range edges[from] {
-				if n := calls * float64(e.PerCent) / 100; n >= minReach {
-					next[e.Service] += n
+				if m := n * float64(e.PerCent) / 100; m >= minReach {
+					next[e.Service] += m
+					turned[e.Service] += m * float64(e.TurnedPerMille) / 1000
 				}
 			}
 		}
@@ -135,5 +177,12 @@
 		}
 		layer = next
 	}
+	reach := map[string]Reached{}
+	for s, n := range calls {
+		reach[s] = Reached{
+			Calls:  n,
+			Turned: turned[s] / n,
+		}
+	}
 	return reach
 }
--- a/internal/admit/shed/shed.go
+++ b/internal/admit/shed/shed.go
@@ -21,6 +21,10 @@
 	// sureLoss is the chance to be turned away halfway at which waits are acted on in
 	// full: waits alone, where all calls make their time, harm nobody.
 	sureLoss = 0.1
+	// calmLoss is the share of requests that are turned away halfway up to which it
+	// refuses nobody by itself, fullLoss that at which all of the lowest rank are refused.
+	calmLoss = 0.1
+	fullLoss = 0.5
 	// minRetry and maxRetry bound when a refused request should come back; the time
 	// between grows with the overload. A cold target takes some seconds.
 	minRetry = 400 * time.Millisecond
@@ -45,6 +49,9 @@
 	// their calls, 0 where it is not known. Other requests of the same service may make
 	// calls that these do not make.
 	Run time.Duration
+	// Failed is the share of such requests that failed lately at their first service,
+	// whatever the cause.
+	Failed float64
 }
 
 // Wait returns how long a request is expected to wait on its path in all. Calls are
@@ -75,9 +82,15 @@
 	if left <= 0 {
 		return 0
 	}
-	part := float64(p.Wait()) / float64(left) / float64(1+max(above, 0))
-	crowded := min(max((part-calmPart)/(fullPart-calmPart), 0), 1)
-	return crowded * min(p.Loss()/sureLoss, 1)
+	urgency := float64(1 + max(above, 0))
+	loss := p.Loss()
+	waiting := ramp(float64(p.Wait())/float64(left)/urgency, calmPart, fullPart) * min(loss/sureLoss, 1)
+	return max(waiting, ramp(min(loss, p.Failed)/urgency, calmLoss, fullLoss))
+}
+
+// ramp returns how far a value is from calm to full, from 0 to 1.
+func ramp(value, calm, full float64) float64 {
+	return min(max((value-calm)/(full-calm), 0), 1)
 }
 
 // RetryAfter returns when a request that was refused with such odds should come back.
--- a/internal/admit/shed/shed_test.go
+++ b/internal/admit/shed/shed_test.go
@@ -45,6 +45,20 @@
 		So(deep(90*time.Millisecond, 0).Odds(left, 0), ShouldEqual, 0)
 		So(deep(90*time.Millisecond, 0.002).Odds(left, 0), ShouldBeLessThan, 0.1)
 	})
+	Convey("Overload that lasts: short queues, and calls that are turned away, refuse the least urgent", t, func() {
+		path := deep(10*time.Millisecond, 0.15)
+		path.Failed = 0.4
+		So(path.Odds(left, 0), ShouldBeGreaterThan, 0.6)
+		So(path.Odds(left, 2), ShouldBeLessThan, 0.2)
+	})
+	Convey("Failures of another cause, and calls that such requests do not make, refuse nobody", t, func() {
+		path := deep(10*time.Millisecond, 0)
+		path.Failed = 0.4
+		So(path.Odds(left, 0), ShouldEqual, 0)
+		path = deep(10*time.Millisecond, 0.15)
+		path.Failed = 0.01
+		So(path.Odds(left, 0), ShouldEqual, 0)
+	})
 	Convey("The chance grows with the wait, so that entries with the same news do not all refuse", t, func() {
 		last := 0.0
 		for ms := 35; ms <= 85; ms += 5 {
--- a/internal/mesh/peers/node.go
+++ b/internal/mesh/peers/node.go
@@ -42,11 +42,10 @@
 	ServiceMillis uint16
 	// CallersMillis is the same for callers' own requests alone.
 	CallersMillis uint16
+	// CallersFailPercent is the recent part of callers' own requests that failed there.
+	CallersFailPercent uint8
 	// FailPercent is the recent part of requests that the target failed.
 	FailPercent uint8
-	// TurnedPerMille is the recent part of calls that found no room or no time at the
-	// target, of a thousand.
-	TurnedPerMille uint16
 	// Calls are the calls that one run of the target makes.
 	Calls []graph.Edge
 	// Rules is the version of the configuration in force on the node.
--- a/internal/mesh/peers/view.go
+++ b/internal/mesh/peers/view.go
@@ -126,15 +126,16 @@
 
 // Path returns what a caller's request to a service meets on its way.
 func (v *View) Path(service string) shed.Path {
+	first := v.nearest(service)
 	path := shed.Path{
-		Run: time.Duration(v.nearest(service).CallersMillis) * time.Millisecond,
+		Run:    time.Duration(first.CallersMillis) * time.Millisecond,
+		Failed: float64(first.CallersFailPercent) / 100,
 	}
-	for s, calls := range graph.Reach(service, v.edges()) {
-		n := v.nearest(s)
+	for s, r := range graph.Reach(service, v.edges()) {
 		path.Stops = append(path.Stops, shed.Stop{
-			Calls:  calls,
-			Wait:   time.Duration(n.WaitMillis) * time.Millisecond,
-			Turned: float64(n.TurnedPerMille) / 1000,
+			Calls:  r.Calls,
+			Wait:   time.Duration(v.nearest(s).WaitMillis) * time.Millisecond,
+			Turned: r.Turned,
 		})
 	}
 	return path
@@ -153,9 +154,30 @@
 	return best
 }
 
+// edgeSum adds up what nodes tell of the calls of one service to another.
+type edgeSum struct {
+	perCent int
+	// turned and told are for the nodes that count most: those of the own domain, to
+	// which a caller's request goes, where there are any.
+	turned int
+	told   int
+	own    bool
+}
+
+func (s *edgeSum) add(e graph.Edge, own bool) {
+	s.perCent += int(e.PerCent)
+	if own && !s.own {
+		s.turned, s.told, s.own = 0, 0, true
+	}
+	if own == s.own {
+		s.turned += int(e.TurnedPerMille)
+		s.told++
+	}
+}
+
 // sumEdges takes the mean of what the nodes of each service have counted.
 func (v *View) sumEdges() map[string][]graph.Edge {
-	sums := map[string]map[string]int{}
+	sums := map[string]map[string]*edgeSum{}
 	counted := map[string]int{}
 	for _, n := range v.nodes {
 		if len(n.Calls) == 0 {
@@ -163,18 +185,24 @@
 		}
 		counted[n.Service]++
 		if sums[n.Service] == nil {
-			sums[n.Service] = map[string]int{}
+			sums[n.Service] = map[string]*edgeSum{}
 		}
 		for _, e := range n.Calls {
-			sums[n.Service][e.Service] += int(e.PerCent)
+			sum, ok := sums[n.Service][e.Service]
+			if !ok {
+				sum = &edgeSum{}
+				sums[n.Service][e.Service] = sum
+			}
+			sum.add(e, n.Domain == v.self.Domain)
 		}
 	}
 	edges := map[string][]graph.Edge{}
 	for from, calls := range sums {
-		for to, perCent := range calls {
+		for to, sum := range calls {
 			edges[from] = append(edges[from], graph.Edge{
-				Service: to,
-				PerCent: uint16(perCent / counted[from]),
+				Service:        to,
+				PerCent:        uint16(sum.perCent / counted[from]),
+				TurnedPerMille: uint16(sum.turned / sum.told),
 			})
 		}
 	}
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -352,8 +352,8 @@
 		n.WaitMillis = shortMillis(s.Wait)
 		n.ServiceMillis = shortMillis(s.ServiceTime)
 		n.CallersMillis = shortMillis(s.CallersTime)
+		n.CallersFailPercent = uint8(100 * s.CallersFail)
 		n.FailPercent = uint8(100 * s.FailShare)
-		n.TurnedPerMille = uint16(1000 * s.TurnedShare)
 		n.Calls = a.graph.Edges(timer.Now())
 	})
 }
--- a/internal/node/entry/enter_test.go
+++ b/internal/node/entry/enter_test.go
@@ -16,9 +16,8 @@
 	deep := node("deep", "d1", "r1")
 	deep.Service = "inspect"
 	deep.WaitMillis = waitMillis
-	deep.TurnedPerMille = 60
 	front := node("home", "d1", "r1")
-	front.Calls = []graph.Edge{{Service: "inspect", PerCent: 400}}
+	front.Calls = []graph.Edge{{Service: "inspect", PerCent: 400, TurnedPerMille: 60}}
 	w.view = peers.NewView(front, []peers.Node{deep})
 }
 
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -68,6 +68,8 @@
 // Graph counts the calls of the target on the VM.
 type Graph interface {
 	Called(now timer.Instant, service string)
+	// Ended tells how a call ended; turned says that it found no room or no time.
+	Ended(now time.Time, service string, turned bool)
 }
 
 // Meter counts answers.
@@ -380,6 +382,10 @@
 		name = q.route.Name
 	}
 	e.meter.Answered(name, status, string(why), took)
+	if q.call != nil && q.call.Nested && status != 0 {
+		turned := status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusGatewayTimeout
+		e.graph.Ended(time.Now(), q.service, turned)
+	}
 	level := zerolog.InfoLevel
 	if status >= fasthttp.StatusBadRequest || resp == nil {
 		level = zerolog.WarnLevel
--- a/internal/node/entry/entry_test.go
+++ b/internal/node/entry/entry_test.go
@@ -162,6 +162,8 @@
 
 func (w *world) Called(timer.Instant, string) {}
 
+func (w *world) Ended(time.Time, string, bool) {}
+
 func (w *world) Spend(string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -39,11 +39,6 @@
 	// failHalfLife is the time in which the share halves without results, so that a
 	// target that was avoided is tried again.
 	failHalfLife = 3 * time.Second
-	// turnedWeight is the weight of one more call in the share of those turned away; a
-	// few in a hundred matter.
-	turnedWeight = 0.02
-	// turnedHalfLife is the time in which that share halves without calls.
-	turnedHalfLife = 1 * time.Second
 	// tombstones bounds the remembered IDs of targets that have left.
 	tombstones = 64
 )
@@ -68,11 +63,11 @@
 	left      map[string]int64
 	leftOrder []string
 	failed    decay.Share
-	turned    decay.Share
 	mean      mean
 	// callers is the mean of callers' own requests alone.
-	callers mean
-	deaths  deaths
+	callers       mean
+	callersFailed decay.Share
+	deaths        deaths
 }
 
 // Option configures a Gate.
@@ -123,14 +118,12 @@
 		docket:  clear{},
 		log:     zerolog.Nop(),
 		failed:  newFailed(),
-		turned: decay.Share{
-			Weight:   turnedWeight,
-			HalfLife: turnedHalfLife,
-		},
-		deaths:  newDeaths(),
-		limiter: limit.New(unknownSlots),
-		waiting: map[*limit.Ticket]chan bool{},
-		left:    map[string]int64{},
+
+		callersFailed: newFailed(),
+		deaths:        newDeaths(),
+		limiter:       limit.New(unknownSlots),
+		waiting:       map[*limit.Ticket]chan bool{},
+		left:          map[string]int64{},
 	}
 	for _, o := range options {
 		o(g)
@@ -180,8 +173,8 @@
 
 		ServiceTime: g.mean.value(time.Now()),
 		CallersTime: g.callers.value(time.Now()),
+		CallersFail: g.callersFailed.Value(time.Now()),
 		FailShare:   g.failed.Value(time.Now()),
-		TurnedShare: g.turned.Value(time.Now()),
 	}
 }
 
--- a/internal/node/gate/send.go
+++ b/internal/node/gate/send.go
@@ -38,6 +38,9 @@
 	g.deaths.end(time.Now(), t, result.Reason == call.Lost)
 	if failed, counts := failing(result); counts {
 		g.failed.Add(time.Now(), failed)
+		if !c.Nested {
+			g.callersFailed.Add(time.Now(), failed)
+		}
 	}
 	woken := g.next()
 	g.mu.Unlock()
--- a/internal/node/gate/serve.go
+++ b/internal/node/gate/serve.go
@@ -43,23 +43,11 @@
 	result.Queued = queued
 	g.mu.Lock()
 	result.Wait = g.limiter.Wait(&limit.Ticket{})
-	g.turned.Add(time.Now(), turnedAway(result))
 	g.mu.Unlock()
 	g.report(c, result)
 	return result
 }
 
-// turnedAway reports whether a call found no room or no time at the target.
-func turnedAway(r call.Result) bool {
-	switch r.Outcome {
-	case call.NotRun:
-		return r.Reason == call.Busy || r.Reason == call.Expired || r.Reason == call.Shed
-	case call.Answered:
-		return r.Answer.Status == fasthttp.StatusGatewayTimeout
-	}
-	return r.Reason == call.Timeout
-}
-
 // report logs a call that was not answered well, with what decided it.
 func (g *Gate) report(c *call.Call, r call.Result) {
 	status := 0
--- a/internal/node/gate/target.go
+++ b/internal/node/gate/target.go
@@ -36,10 +36,10 @@
 	ServiceTime time.Duration
 	// CallersTime is the same for callers' own requests, without nested calls.
 	CallersTime time.Duration
+	// CallersFail is the recent part of callers' own requests that the target failed.
+	CallersFail float64
 	// FailShare is the recent part of requests that the target failed.
 	FailShare float64
-	// TurnedShare is the recent part of calls that found no room or no time.
-	TurnedShare float64
 }
 
 // Expect sets the target that the settings name, until it announces itself.
@@ -117,7 +117,7 @@
 	}
 	if restarted {
 		g.mean, g.callers = mean{}, mean{}
-		g.failed = newFailed()
+		g.failed, g.callersFailed = newFailed(), newFailed()
 	}
 	g.target = t
 	g.known = true
