Operators see a node's picture of all; unused parts removed

Cause: status speaks to the project's own interface only; what a node on the users' platform believed of the others could be read from its log alone. Ruled out: asking all nodes from the client (it would need their addresses first); letting a restarted node use its target before it announces itself (Gate.Expect): it could send to one whose leaving it had confirmed. Change: the metrics address shows the picture (fuchsiapier fleet) and gauges of the gate, peers and configuration. Gate.Expect, Watcher.started and three fields of the place are gone; hedgeAfter and mayHedge share a lookup. Conclusion: two nodes that are cut off from each other can be told by their pictures.

--- /dev/null
+++ b/cmd/fuchsiapier/cmd_fleet.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"fuchsiapier/internal/ops/admin"
+)
+
+var errNoMetrics = errors.New("no node given; use --node ip:port with the metrics address of any node on the users' platform")
+
+func cmdFleet() command {
+	return command{
+		name:  "fleet",
+		short: "Show what a node on the users' platform believes of all nodes",
+		long:  "Show what a node on the users' platform believes of all nodes: their targets, load, configuration and\nkeepers. --node names its metrics address; the nodes' own reports are up to some beats old. With several\n--node, each picture is printed: nodes that are cut off from each other differ.",
+		count: cobra.NoArgs,
+		action: func(cmd *cobra.Command, e *env, _ []string) error {
+			if len(e.nodes) == 0 {
+				return errNoMetrics
+			}
+			for _, address := range e.nodes {
+				var f admin.Fleet
+				if err := get(address, admin.PathFleet, &f); err != nil {
+					return err
+				}
+				if err := showFleet(cmd.OutOrStdout(), f, e.json); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func showFleet(out io.Writer, f admin.Fleet, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(out).Encode(f)
+	}
+	slices.SortFunc(f.Members, func(a, b admin.Member) int {
+		return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.Name, b.Name))
+	})
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintf(w, "as %s sees it\nNODE\tDOMAIN\tSERVICE\tTARGET\tSTATE\tSLOTS\tWAIT\tRUN\tFAILED\tVERSION\tSTORE\tKEEPER\n", f.Node)
+	for _, m := range f.Members {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d ms\t%d ms\t%d%%\t%d\t%s\t%s\n", m.Name, m.Domain, m.Service, m.Target,
+			memberState(m), m.Slots, m.WaitMillis, m.ServiceMillis, m.FailPercent, m.Version, reached(m.Store), m.Keeper)
+	}
+	return w.Flush()
+}
+
+func memberState(m admin.Member) string {
+	switch {
+	case m.Suspect:
+		return "silent"
+	case m.Open:
+		return "open"
+	}
+	return "closed"
+}
+
+func reached(store bool) string {
+	if store {
+		return "reached"
+	}
+	return "not reached"
+}
--- a/cmd/fuchsiapier/command.go
+++ b/cmd/fuchsiapier/command.go
@@ -83,6 +83,7 @@
 		cmdTimeline(),
 		cmdCheck(),
 		cmdTrace(),
+		cmdFleet(),
 	}
 }
 
--- a/internal/admit/shed/shed.go
+++ b/internal/admit/shed/shed.go
@@ -14,9 +14,10 @@
 
 const (
 	// calmPart is the part of its time that a request of the lowest rank may be expected
-	// to wait before some are refused: half of what a path usually takes is 0.2 to 0.3.
+	// to wait before some are refused, fullPart the part at which all are. With lower
+	// bounds callers of small services that are always busy are refused, with higher ones
+	// cold targets fill up.
 	calmPart = 0.15
-	// fullPart is the part at which all of the lowest rank are refused.
 	fullPart = 0.45
 	// sureLoss is the chance to be turned away halfway at which waits are acted on in
 	// full: waits alone, where all calls make their time, harm nobody.
--- a/internal/conf/place/place.go
+++ b/internal/conf/place/place.go
@@ -23,17 +23,12 @@
 	// MeshPort and MetricsPort are free ports on IP.
 	MeshPort    int
 	MetricsPort int
-	// TargetAddress and TargetService describe the target on the VM as last known.
-	TargetAddress string
+	// TargetService names the service of the target on the VM.
 	TargetService string
-	// HeartbeatPeriod is how often a target announces itself.
-	HeartbeatPeriod time.Duration
 	// StoreAddress is where the platform's store is.
 	StoreAddress string
 	// Grace is how long after SIGTERM the process is killed.
 	Grace time.Duration
-	// DrainTime is how long a target still serves after its leaving was confirmed.
-	DrainTime time.Duration
 	// RetryRatio and RetrySlack bound repeated sends to a service within
 	// RetryWindow, over all nodes.
 	RetryRatio  float64
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -135,6 +135,7 @@
 	if err := a.listen(self); err != nil {
 		return err
 	}
+	a.showState()
 	a.up.Store(true)
 	timers, stopTimers := timer.New()
 	a.tree.Own(stopTimers)
@@ -142,6 +143,25 @@
 	return nil
 }
 
+// showState registers what the node knows at the moment as gauges.
+func (a *Agent) showState() {
+	show := func(name, help string, read func() int) {
+		a.stats.Gauge("fuchsiapier_"+name, help, func() float64 { return float64(read()) })
+	}
+	show("gate_running", "Calls that run at the target.", func() int { return a.gate.State().Running })
+	show("gate_waiting", "Calls that wait for the target.", func() int { return a.gate.State().Waiting })
+	show("gate_limit", "Calls that may run at the target at once.", func() int { return a.gate.State().Limit })
+	show("peers_alive", "Live nodes, this one included.", func() int { return len(a.peers.View().Nodes()) })
+	show("rules_version", "Version of the configuration in force, 0 before the first.", a.rulesVersion)
+}
+
+func (a *Agent) rulesVersion() int {
+	if r := a.watcher.Current(); r != nil {
+		return int(r.Version())
+	}
+	return 0
+}
+
 func (a *Agent) self() (peers.Node, error) {
 	_, port, err := net.SplitHostPort(a.place.Gate)
 	if err != nil {
--- a/internal/node/agent/http.go
+++ b/internal/node/agent/http.go
@@ -9,6 +9,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"fuchsiapier/internal/ops/admin"
 )
 
 const (
@@ -96,5 +98,12 @@
 }
 
 func (a *Agent) handleMetrics() fasthttp.RequestHandler {
-	return fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(a.stats.Registry(), promhttp.HandlerOpts{}))
+	metrics := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(a.stats.Registry(), promhttp.HandlerOpts{}))
+	return func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == admin.PathFleet {
+			a.handleFleet(ctx)
+			return
+		}
+		metrics(ctx)
+	}
 }
--- a/internal/node/entry/dispatch.go
+++ b/internal/node/entry/dispatch.go
@@ -128,13 +128,23 @@
 	if !q.route.Idempotent || len(q.tried) == 0 {
 		return time.Hour
 	}
+	least := max(minHedge, q.route.Objective/hedgePart)
+	if n, ok := d.lastTried(); ok {
+		return max(least, hedgeFactor*d.entry.picker.mean(&n))
+	}
+	return least
+}
+
+// lastTried returns the node of the last send, if it still takes calls.
+func (d *dispatcher) lastTried() (peers.Node, bool) {
+	q := d.request
 	name := q.tried[len(q.tried)-1]
 	for _, n := range d.entry.fleet.View().Targets(q.service) {
 		if n.Name == name {
-			return max(minHedge, q.route.Objective/hedgePart, hedgeFactor*d.entry.picker.mean(&n))
+			return n, true
 		}
 	}
-	return max(minHedge, q.route.Objective/hedgePart)
+	return peers.Node{}, false
 }
 
 // mayGoOn decides whether another node is asked after what came back so far.
@@ -155,17 +165,11 @@
 // are common and a repeat is charged further down, the budget is left to those
 // calls.
 func (d *dispatcher) mayHedge() bool {
-	q, e := d.request, d.entry
-	if !e.repeats.Deep(q.service) {
+	if !d.entry.repeats.Deep(d.request.service) {
 		return true
 	}
-	name := q.tried[len(q.tried)-1]
-	for _, n := range e.fleet.View().Targets(q.service) {
-		if n.Name == name {
-			return e.picker.failing(time.Now(), &n) <= rareFailures
-		}
-	}
-	return true
+	n, ok := d.lastTried()
+	return !ok || d.entry.picker.failing(time.Now(), &n) <= rareFailures
 }
 
 // mayRepeat takes one send beyond the first from the budget of the service.
--- a/internal/node/gate/target.go
+++ b/internal/node/gate/target.go
@@ -42,21 +42,6 @@
 	FailShare float64
 }
 
-// Expect sets the target that the settings name, until it announces itself.
-func (g *Gate) Expect(service, address string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.known {
-		return
-	}
-	g.setTarget(Target{
-		Service: service,
-		Address: address,
-		Slots:   unknownSlots,
-		Ready:   true,
-	})
-}
-
 // Announce takes a target's announcement and reports whether it is news: late
 // ones of the same start and those of earlier starts are not.
 func (g *Gate) Announce(t Target) bool {
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -100,7 +100,6 @@
 	applied func(*rules.Rules)
 	reached bool
 	offset  int64
-	started time.Time
 }
 
 // Option configures a Watcher.
@@ -133,7 +132,6 @@
 		log:     zerolog.Nop(),
 		applied: func(*rules.Rules) {},
 		offset:  -1,
-		started: time.Now(),
 	}
 	for _, o := range options {
 		o(w)
--- a/test/serve_test.go
+++ b/test/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,6 +18,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"fuchsiapier/internal/ops/admin"
 	"fuchsiapier/lab/backend"
 	"fuchsiapier/lab/store"
 	"fuchsiapier/platform"
@@ -53,6 +55,8 @@
 	portControl  = 7303
 	portServer   = 7304
 	portMesh     = 7310
+	// portMetrics is the second of the range.
+	portMetrics = portMesh + 1
 )
 
 // newSite starts two domains with a front service, which calls a back one.
@@ -283,6 +287,38 @@
 	})
 }
 
+func TestServeShowsTheFleet(t *testing.T) {
+	Convey("Each node shows operators all nodes, with the configuration in force on them", t, func() {
+		w := newSite(t)
+		for _, v := range w.vms {
+			w.until("all nodes are shown", func() bool { return v.shows(len(w.vms), 1) })
+		}
+		w.configure(2, "key-2")
+		for _, v := range w.vms {
+			w.until("the new version is shown", func() bool { return v.shows(len(w.vms), 2) })
+		}
+	})
+}
+
+// shows reports whether a node shows so many nodes, all with a version in force.
+func (v *vm) shows(nodes int, version int64) bool {
+	resp, err := http.Get("http://" + v.at(portMetrics) + admin.PathFleet)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var f admin.Fleet
+	if err := json.NewDecoder(resp.Body).Decode(&f); err != nil || len(f.Members) != nodes {
+		return false
+	}
+	for _, m := range f.Members {
+		if m.Version != version || !m.Open {
+			return false
+		}
+	}
+	return f.Node == v.name
+}
+
 func TestServeWithdrawnKey(t *testing.T) {
 	Convey("A withdrawn key ends at every node, also at one that starts while the store is away", t, func() {
 		w := newSite(t)
