node/gate: log and count what a target says about itself in its responses

Nothing of the logs or metrics said which rate limit a target named, when, or how many requests reached it. Lines 'rate limit of the target changed', 'malformed rate limit of the target ignored' and 'target is leaving', gauge fuchsiapier_gate_rate_limit, counter fuchsiapier_gate_sent_total, fields of the gate's line on refusals.

--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -160,6 +160,7 @@
 	var stop func()
 	bodies := httpc.NewBodies(int(a.deploy.MemoryBytes/bodiesDivisor), int(a.deploy.MemoryBytes/bodyDivisor))
 	a.gate, stop = gate.New(a.adapter.Names, gate.WithBodies(bodies), gate.WithOnChange(a.targetChanged), gate.WithCrashTracker(a.crashTracker), gate.WithLog(a.requestLog),
+		gate.WithTargetLog(a.log.Sample(a.stats.Sampler())),
 		gate.WithOnRun(func() { a.graph.CountRun(timer.Now()) }))
 	a.tree.Cleanup(stop)
 	a.links, stop = remote.New(self, a.adapter.Names, bodies)
@@ -188,6 +189,13 @@
 	register("gate_running", "Calls that run at the target.", func() int { return a.gate.State().Running })
 	register("gate_waiting", "Calls that wait for the target.", func() int { return a.gate.State().Waiting })
 	register("gate_limit", "Calls that may run at the target at once.", func() int { return a.gate.State().Limit })
+	a.stats.Gauge("fuchsiapier_gate_rate_limit", "Requests per second that the target accepts, -1 if it names no limit.", func() float64 {
+		if s := a.gate.State(); s.Limited {
+			return s.RateLimit
+		}
+		return -1
+	})
+	a.stats.Counter("fuchsiapier_gate_sent_total", "Requests that were sent to the target, or would have been if it could be connected to.", nil, func() float64 { return float64(a.gate.State().Sent) })
 	register("peers_alive", "Live nodes, this one included.", func() int { return len(a.peers.View().Nodes()) })
 	register("settings_need_restart", "Settings of the file that take effect with the next start.", func() int { return len(a.reloader.Status().Restart) })
 	register("settings_rejected", "1 if the settings file as it is now was refused.", func() int {
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -58,11 +58,21 @@
 	onRun    func()
 	crashes  CrashTracker
 	log      zerolog.Logger
+	// targetLog is for lines about changes of the target.
+	targetLog zerolog.Logger
 
 	mu     sync.Mutex
 	target Target
 	// announced says that a target has announced itself.
 	announced bool
+	// limited says that the target names a rate limit in its responses, and rateLimit which
+	// one, in requests per second.
+	limited   bool
+	rateLimit float64
+	// targetLeaving says that the target announces in its responses that it is about to stop.
+	targetLeaving bool
+	// sent counts the requests that were sent to targets.
+	sent uint64
 	// leaving says that the node is about to stop.
 	leaving   bool
 	downUntil time.Time
@@ -120,6 +130,13 @@
 	}
 }
 
+// WithTargetLog sets the logger for what the target says about itself in responses.
+func WithTargetLog(log zerolog.Logger) Option {
+	return func(g *Gate) {
+		g.targetLog = log
+	}
+}
+
 // WithOnRun sets a function that is called after each request that was, or may have
 // been, sent to the target.
 func WithOnRun(f func()) Option {
@@ -145,7 +162,9 @@
 		onRun:    func() {},
 		crashes:  noCrashes{},
 		log:      zerolog.Nop(),
-		failed:   newFailureRate(),
+
+		targetLog: zerolog.Nop(),
+		failed:    newFailureRate(),
 
 		callersFailed: newFailureRate(),
 		runs:          newRuns(),
@@ -200,6 +219,10 @@
 		Waiting: g.limiter.Waiting(),
 		Limit:   g.limiter.Limit(),
 
+		Limited:   g.limited,
+		RateLimit: g.rateLimit,
+		Sent:      g.sent,
+
 		ServiceTime:        g.serviceTime.value(time.Now()),
 		CallersServiceTime: g.callersTime.value(time.Now()),
 		CallersFailureRate: g.callersFailed.Value(time.Now()),
--- a/internal/node/gate/send.go
+++ b/internal/node/gate/send.go
@@ -80,11 +80,14 @@
 	g.mu.Lock()
 	reason := g.closedReason(c.Service)
 	pool, target := g.pool, g.target
+	left := time.Until(c.Deadline)
+	if reason == "" && left >= minTimeLeft {
+		g.sent++
+	}
 	g.mu.Unlock()
 	if reason != "" {
 		return notRun(reason, downBackoff)
 	}
-	left := time.Until(c.Deadline)
 	if left < minTimeLeft {
 		return notRun(call.Expired, 0)
 	}
@@ -94,6 +97,9 @@
 	ctx, cancel := context.WithTimeout(ctx, left+responseGrace)
 	defer cancel()
 	answer, err := pool.Do(ctx, g.encode(c, target, left), c.Request.Method, c.Attempt)
+	if err == nil && answer.Status != fasthttp.StatusMisdirectedRequest {
+		g.observe(c, target, answer)
+	}
 	return g.classify(ctx, target, answer, err)
 }
 
--- a/internal/node/gate/serve.go
+++ b/internal/node/gate/serve.go
@@ -64,7 +64,7 @@
 	s := g.State()
 	g.log.Warn().Str("request", c.Attempt).Str("service", c.Service).Str("outcome", r.Outcome.String()).
 		Str("reason", string(r.Reason)).Int("status", status).Str("target", s.ID).Int64("seq", s.Seq).
-		Int("running", s.Running).Int("waiting", s.Waiting).Int("limit", s.Limit).
+		Int("running", s.Running).Int("waiting", s.Waiting).Int("limit", s.Limit).Bool("limited", s.Limited).Float64("rate-limit", s.RateLimit).
 		Int64("queued-ms", r.Queued.Milliseconds()).Int64("wait-ms", r.Wait.Milliseconds()).
 		Int64("patience-ms", c.MaxWait.Milliseconds()).Int64("left-ms", time.Until(c.Deadline).Milliseconds()).
 		Bool("nested", c.Nested).Msg("call refused or failed at the gate")
--- a/internal/node/gate/target.go
+++ b/internal/node/gate/target.go
@@ -40,6 +40,12 @@
 	Waiting int
 	// Limit is the concurrency limit, in requests.
 	Limit int
+	// Limited says that the target names a rate limit, and RateLimit which one, in requests
+	// per second.
+	Limited   bool
+	RateLimit float64
+	// Sent is the number of requests sent to targets since the node started.
+	Sent uint64
 	// ServiceTime is the moving average of the time that the target takes for a
 	// request.
 	ServiceTime time.Duration
@@ -118,6 +124,7 @@
 	if restarted {
 		g.serviceTime, g.callersTime = serviceTime{}, serviceTime{}
 		g.failed, g.callersFailed = newFailureRate(), newFailureRate()
+		g.limited, g.rateLimit, g.targetLeaving = false, 0, false
 	}
 	g.target = t
 	g.announced = true
--- a/internal/pipe/msg/msg.go
+++ b/internal/pipe/msg/msg.go
@@ -32,6 +32,11 @@
 	Caller string
 	// TargetID carries the ID of the target that sent the response.
 	TargetID string
+	// RateLimit carries the requests per second, a decimal number, that the target that sent
+	// the response accepts from all callers together.
+	RateLimit string
+	// Leaving is in the responses of a target that is about to stop.
+	Leaving string
 	// Scheme is the scheme of the Authorization field that carries a workspace key.
 	Scheme string
 }
