--- a/internal/node/gate/gate_test.go
+++ b/internal/node/gate/gate_test.go
@@ -25,6 +25,9 @@
 	Deadline:     "X-Deadline",
 	ExpectTarget: "X-Expect",
 	NotRun:       "X-Not-Run",
+	Signature:    "X-Signature",
+	RateLimit:    "X-Rate-Limit",
+	Leaving:      "X-Leaving",
 }
 
 // server is a target that holds its responses until release is closed. It counts
--- a/lab/backend/backend.go
+++ b/lab/backend/backend.go
@@ -25,6 +25,10 @@
 	Attempt string
 	// Signature names the response header with the server's signature.
 	Signature string
+	// RateLimit names the response header with the requests per second that the server
+	// accepts, Leaving the one that says that the server is about to stop.
+	RateLimit string
+	Leaving   string
 }
 
 // Config describes a server.
@@ -57,6 +61,17 @@
 	Header  http.Header
 	Path    string
 	Body    string
+	// At is when the request arrived.
+	At time.Time
+}
+
+// behavior is what a running server may be told to change.
+type behavior struct {
+	serviceTime time.Duration
+	// rateLimit is the value of the rate limit header, "" for none.
+	rateLimit string
+	// leaving says that responses have the header of a server that is about to stop.
+	leaving bool
 }
 
 // Backend is a running server. It is safe for concurrent use.
@@ -68,6 +83,7 @@
 	client    *http.Client
 	mu        sync.Mutex
 	runs      []Run
+	behavior  behavior
 	state     string
 	seq       int
 	done      chan struct{}
@@ -87,6 +103,9 @@
 		client: &http.Client{
 			Timeout: 5 * time.Second,
 		},
+		behavior: behavior{
+			serviceTime: c.ServiceTime,
+		},
 		state: "ready",
 		done:  make(chan struct{}),
 	}
@@ -120,6 +139,29 @@
 	b.announce()
 }
 
+// SetServiceTime changes the service time of requests that arrive from now on.
+func (b *Backend) SetServiceTime(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.behavior.serviceTime = d
+}
+
+// NameRateLimit makes responses carry a rate limit, in requests per second; "" ends that. The
+// server enforces no limit.
+func (b *Backend) NameRateLimit(value string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.behavior.rateLimit = value
+}
+
+// NameLeaving makes responses say that the server is about to stop. Its announcements stay as
+// they are.
+func (b *Backend) NameLeaving() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.behavior.leaving = true
+}
+
 func (b *Backend) close() {
 	close(b.done)
 	_ = b.server.Close()
@@ -181,9 +223,17 @@
 		Header:  r.Header.Clone(),
 		Path:    r.URL.Path,
 		Body:    string(body),
+		At:      time.Now(),
 	})
+	now := b.behavior
 	b.mu.Unlock()
-	time.Sleep(b.config.ServiceTime)
+	time.Sleep(now.serviceTime)
+	if now.rateLimit != "" {
+		w.Header().Set(b.config.Names.RateLimit, now.rateLimit)
+	}
+	if now.leaving {
+		w.Header().Set(b.config.Names.Leaving, "1")
+	}
 	w.Header().Set(b.config.Names.Attempt, attempt)
 	w.Header().Set(b.config.Names.Signature, "proof-of-"+attempt)
 	if err := b.call(attempt); err != nil {
--- a/test/serve_test.go
+++ b/test/serve_test.go
@@ -146,6 +146,8 @@
 		Names: backend.Names{
 			Attempt:   platform.HeaderNames.Attempt,
 			Signature: platform.HeaderNames.Signature,
+			RateLimit: platform.HeaderNames.RateLimit,
+			Leaving:   platform.HeaderNames.Leaving,
 		},
 	}
 	if v.service == "front" {
