node/gate: a target gets no more requests per second than the rate limit that it names

Cause: the gate bounded how many requests run at once, and nothing in a node read the limit. A class of fault: a target tells a belief about itself in its responses, and the node looks at announcements and at its own measurements only. Change: the gate, which all requests of its target pass, limits the rate at which requests start (admit/limit, on golang.org/x/time/rate), by the newest limit that a response names. What can't start in time is refused as not run with the wait as retry delay, or waits in the order that it had; the wait counts in what the gate tells other nodes, so that work goes to other targets first. A signed response without a limit lifts it. A limit below 0.5 counts as 0.5, or nothing would ever lift it.

--- a/internal/admit/limit/limit.go
+++ b/internal/admit/limit/limit.go
@@ -1,7 +1,8 @@
 // Package limit implements the concurrency limit and the bounded priority queue of
 // one target. The limit adapts by additive increase and multiplicative decrease: it
 // starts low after a cold start, grows with successful requests up to the slots
-// that the target announced, and decreases when the target sheds load.
+// that the target announced, and decreases when the target sheds load. The rate at which
+// requests start can be limited as well.
 // The package does no I/O and takes time as an argument.
 package limit
 
@@ -9,6 +10,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"fuchsiapier/internal/base/timer"
 )
 
@@ -100,10 +103,12 @@
 	sequence    uint64
 	serviceTime time.Duration
 	decreasedAt timer.Instant
-	fixed       bool
-	unlimited   bool
-	waitSum     time.Duration
-	startCount  int
+	// rate limits the rate at which requests start; nil for no limit.
+	rate       *rate.Limiter
+	fixed      bool
+	unlimited  bool
+	waitSum    time.Duration
+	startCount int
 }
 
 // Option configures a Limiter.
@@ -183,11 +188,11 @@
 	l.sequence++
 	t.sequence = l.sequence
 	t.queuedAt = now
-	if l.canStart(t) && len(l.queue) == 0 {
+	if l.canStart(now, t) && len(l.queue) == 0 {
 		l.start(now, t)
 		return Started, nil
 	}
-	if now.Add(l.estimate(l.ahead(t))) > t.Deadline {
+	if now.Add(l.estimate(now, l.ahead(t))) > t.Deadline {
 		return Refused, nil
 	}
 	l.insert(t)
@@ -214,11 +219,12 @@
 }
 
 // Wait estimates how long a request would wait in the queue.
-func (l *Limiter) Wait(t *Ticket) time.Duration {
-	if l.canStart(t) && len(l.queue) == 0 {
+func (l *Limiter) Wait(now timer.Instant, t *Ticket) time.Duration {
+	if l.canStart(now, t) && len(l.queue) == 0 {
 		return 0
 	}
-	return time.Duration(float64(l.ahead(t)+1) / l.limit * float64(l.serviceTime))
+	rank := l.ahead(t) + 1
+	return max(time.Duration(float64(rank)/l.limit*float64(l.serviceTime)), l.rateWait(now, rank))
 }
 
 // maxQueueLength returns the maximum queue length at the current limit.
@@ -228,16 +234,18 @@
 
 // estimate returns the expected time until a request finishes that has the given
 // number of queued requests ahead of it.
-func (l *Limiter) estimate(ahead int) time.Duration {
+func (l *Limiter) estimate(now timer.Instant, ahead int) time.Duration {
 	rounds := float64(ahead+1)/l.limit + 1
-	return time.Duration(rounds * float64(l.serviceTime))
+	return max(time.Duration(rounds*float64(l.serviceTime)), l.rateWait(now, ahead+1)+l.serviceTime)
 }
 
 // canStart reports whether t may run now together with the running requests.
-func (l *Limiter) canStart(t *Ticket) bool {
+func (l *Limiter) canStart(now timer.Instant, t *Ticket) bool {
 	switch {
 	case l.unlimited:
 		return true
+	case l.rateWait(now, 1) > 0:
+		return false
 	case l.exclusive:
 		return false
 	case t.Exclusive:
@@ -250,6 +258,9 @@
 	l.running++
 	l.holders = append(l.holders, t)
 	t.startedAt = now
+	if l.rate != nil {
+		l.rate.AllowN(wall(now), 1)
+	}
 	l.exclusive = t.Exclusive
 	l.waitSum += now.Sub(t.queuedAt)
 	l.startCount++
@@ -369,7 +380,7 @@
 			expired = append(expired, t)
 			continue
 		}
-		if !l.canStart(t) {
+		if !l.canStart(now, t) {
 			return nil, expired
 		}
 		l.queue = l.queue[1:]
@@ -396,6 +407,6 @@
 
 // RetryAfter estimates the time until all queued requests have finished, after which
 // a refused request is worth a retry.
-func (l *Limiter) RetryAfter() time.Duration {
-	return l.estimate(len(l.queue))
+func (l *Limiter) RetryAfter(now timer.Instant) time.Duration {
+	return l.estimate(now, len(l.queue))
 }
--- a/internal/edge/runner/gate.go
+++ b/internal/edge/runner/gate.go
@@ -188,6 +188,6 @@
 		Limit:   g.limiter.Limit(),
 		Running: g.limiter.Running(),
 		Waiting: g.limiter.Waiting(),
-		Retry:   g.limiter.RetryAfter(),
+		Retry:   g.limiter.RetryAfter(timer.Now()),
 	}
 }
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -189,12 +189,7 @@
 	register("gate_running", "Calls that run at the target.", func() int { return a.gate.State().Running })
 	register("gate_waiting", "Calls that wait for the target.", func() int { return a.gate.State().Waiting })
 	register("gate_limit", "Calls that may run at the target at once.", func() int { return a.gate.State().Limit })
-	a.stats.Gauge("fuchsiapier_gate_rate_limit", "Requests per second that the target accepts, -1 if it names no limit.", func() float64 {
-		if s := a.gate.State(); s.Limited {
-			return s.RateLimit
-		}
-		return -1
-	})
+	a.stats.Gauge("fuchsiapier_gate_rate_limit", "Requests per second that the target accepts, 0 for no limit.", func() float64 { return a.gate.State().RateLimit })
 	a.stats.Counter("fuchsiapier_gate_sent_total", "Requests that were sent to the target, or would have been if it could be connected to.", nil, func() float64 { return float64(a.gate.State().Sent) })
 	register("peers_alive", "Live nodes, this one included.", func() int { return len(a.peers.View().Nodes()) })
 	register("settings_need_restart", "Settings of the file that take effect with the next start.", func() int { return len(a.reloader.Status().Restart) })
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -65,10 +65,10 @@
 	target Target
 	// announced says that a target has announced itself.
 	announced bool
-	// limited says that the target names a rate limit in its responses, and rateLimit which
-	// one, in requests per second.
-	limited   bool
+	// rateLimit is the number of requests per second that the target accepts, 0 for no limit.
 	rateLimit float64
+	// paced starts queued requests that the rate limit holds up; nil before the first.
+	paced *time.Timer
 	// targetLeaving says that the target announces in its responses that it is about to stop.
 	targetLeaving bool
 	// sent counts the requests that were sent to targets.
@@ -190,6 +190,9 @@
 	if g.pool != nil {
 		g.pool.Close()
 	}
+	if g.paced != nil {
+		g.paced.Stop()
+	}
 }
 
 // Leave makes the gate refuse all requests that have not been sent to the target
@@ -214,12 +217,11 @@
 	return State{
 		Target:  g.target,
 		Open:    g.announced && g.target.Ready && !g.leaving && time.Now().After(g.downUntil),
-		Wait:    g.limiter.Wait(&limit.Ticket{}),
+		Wait:    g.wait(),
 		Running: g.limiter.Running(),
 		Waiting: g.limiter.Waiting(),
 		Limit:   g.limiter.Limit(),
 
-		Limited:   g.limited,
 		RateLimit: g.rateLimit,
 		Sent:      g.sent,
 
@@ -230,6 +232,13 @@
 	}
 }
 
+// wait returns the expected queueing time of a new request: that of an important one, or
+// of any request where the target limits the rate; g.mu must be held.
+func (g *Gate) wait() time.Duration {
+	now := timer.Now()
+	return max(g.limiter.Wait(now, &limit.Ticket{}), g.limiter.Backlog(now))
+}
+
 // Tick starts queued requests in the slots of requests that are overdue. It is to
 // be called periodically.
 func (g *Gate) Tick() {
--- a/internal/node/gate/notice.go
+++ b/internal/node/gate/notice.go
@@ -3,16 +3,19 @@
 import (
 	"math"
 	"strconv"
+	"time"
 
+	"fuchsiapier/internal/admit/limit"
+	"fuchsiapier/internal/base/timer"
 	"fuchsiapier/internal/node/call"
 	"fuchsiapier/internal/pipe/httpc"
 )
 
 // notice is what a target says about itself in the header of a response.
 type notice struct {
-	// rateLimit is the number of requests per second that the target accepts, or nil if it
+	// rateLimit is the number of requests per second that the target accepts, or 0 if it
 	// names none.
-	rateLimit *float64
+	rateLimit float64
 	// malformed is the value of a rate limit that is no number of requests, or "".
 	malformed string
 	// leaving says that the target is about to stop.
@@ -31,12 +34,12 @@
 	if value == "" {
 		return n
 	}
-	limit, err := strconv.ParseFloat(value, 64)
-	if err != nil || math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0 {
+	rate, err := strconv.ParseFloat(value, 64)
+	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
 		n.malformed = value
 		return n
 	}
-	n.rateLimit = &limit
+	n.rateLimit = max(rate, limit.MinRate)
 	return n
 }
 
@@ -53,28 +56,35 @@
 }
 
 // observeRateLimit takes over the rate limit that a response names. A signed response
-// that names none lifts the limit, a response in which it can't be read leaves it as it
-// is; g.mu must be held.
+// that names none lifts the limit; an unsigned one may come from a target that is too busy
+// to name it. g.mu must be held.
 func (g *Gate) observeRateLimit(c *call.Call, n notice) {
 	if n.malformed != "" {
 		g.targetLog.Warn().Str("request", c.Attempt).Str("target", g.target.ID).Str("value", n.malformed).
 			Float64("rate-limit", g.rateLimit).Msg("malformed rate limit of the target ignored")
 		return
 	}
-	limit := 0.0
-	limited := n.rateLimit != nil
-	if limited {
-		limit = *n.rateLimit
-	} else if !n.signed {
+	if n.rateLimit == 0 && !n.signed {
 		return
 	}
-	if limited == g.limited && limit == g.rateLimit {
+	g.setRateLimit(c, n.rateLimit)
+}
+
+// setRateLimit limits the rate of requests to the target, or lifts the limit where it is 0.
+// g.mu must be held.
+func (g *Gate) setRateLimit(c *call.Call, perSecond float64) {
+	if perSecond == g.rateLimit {
 		return
 	}
 	g.targetLog.Info().Str("request", c.Attempt).Str("target", g.target.ID).Int64("born", g.target.StartedAt).
-		Bool("limited", limited).Float64("rate-limit", limit).Bool("limited-before", g.limited).
-		Float64("rate-limit-before", g.rateLimit).Uint64("sent", g.sent).Msg("rate limit of the target changed")
-	g.limited, g.rateLimit = limited, limit
+		Float64("rate-limit", perSecond).Float64("rate-limit-before", g.rateLimit).
+		Uint64("sent", g.sent).Msg("rate limit of the target changed")
+	g.rateLimit = perSecond
+	if perSecond == 0 {
+		g.limiter.LiftRate()
+		return
+	}
+	g.limiter.SetRate(timer.Now(), perSecond)
 }
 
 // observeLeaving records that the target is about to stop; g.mu must be held.
@@ -86,3 +96,25 @@
 	g.targetLog.Info().Str("request", c.Attempt).Str("target", g.target.ID).Int64("born", g.target.StartedAt).
 		Uint64("sent", g.sent).Msg("target is leaving")
 }
+
+// scheduleStart calls startPaced once the rate limit lets the head of the queue start;
+// g.mu must be held.
+func (g *Gate) scheduleStart() {
+	delay := g.limiter.StartDelay(timer.Now())
+	if delay == 0 {
+		return
+	}
+	if g.paced == nil {
+		g.paced = time.AfterFunc(delay, g.startPaced)
+		return
+	}
+	g.paced.Reset(delay)
+}
+
+// startPaced starts queued requests that the rate limit has held up.
+func (g *Gate) startPaced() {
+	g.mu.Lock()
+	woken := g.startQueued()
+	g.mu.Unlock()
+	wake(woken)
+}
--- a/internal/node/gate/notice_test.go
+++ b/internal/node/gate/notice_test.go
@@ -44,3 +44,52 @@
 		So(float64(got), ShouldBeLessThanOrEqualTo, allowed)
 	})
 }
+
+// responding returns a response with the given header lines besides the ID.
+func responding(lines string) string {
+	return "HTTP/1.1 200 OK\r\nX-Id: ID\r\n" + lines + "Content-Length: 2\r\nConnection: close\r\n\r\nok"
+}
+
+// TestTargetRateLimitChanges guards against a rate limit that stays after the target has lifted
+// it, and against one that is lost because of a response that does not tell it.
+func TestTargetRateLimitChanges(t *testing.T) {
+	respond := func(g *Gate, s *server, response string) {
+		s.mu.Lock()
+		s.response = response
+		s.mu.Unlock()
+		So((<-serveAll(context.Background(), g, newCall("x"))).Outcome, ShouldEqual, call.Answered)
+	}
+	Convey("The newest response that tells the limit is in force", t, func() {
+		s := newServer(t, okResponse)
+		close(s.release)
+		g := newGate(s, 4)
+		for _, step := range []struct {
+			lines string
+			limit float64
+		}{
+			{"X-Signature: s\r\n", 0},
+			{"X-Signature: s\r\nX-Rate-Limit: 20.5\r\n", 20.5},
+			{"", 20.5},
+			{"X-Signature: s\r\nX-Rate-Limit: many\r\n", 20.5},
+			{"X-Signature: s\r\nX-Rate-Limit: -3\r\n", 20.5},
+			{"X-Rate-Limit: 40\r\n", 40},
+			{"X-Signature: s\r\nX-Rate-Limit: 0\r\n", 0.5},
+		} {
+			respond(g, s, responding(step.lines))
+			So(g.State().RateLimit, ShouldEqual, step.limit)
+		}
+		respond(g, s, responding("X-Signature: s\r\n"))
+		So(g.State().RateLimit, ShouldEqual, 0)
+	})
+	Convey("A target that has restarted has no limit", t, func() {
+		s := newServer(t, limitedResponse)
+		close(s.release)
+		g := newGate(s, 4)
+		respond(g, s, limitedResponse)
+		So(g.State().RateLimit, ShouldEqual, 2)
+		restarted := announcement("t1", 200, 1, true)
+		restarted.Address = s.address
+		g.Announce(restarted)
+		So(g.State().RateLimit, ShouldEqual, 0)
+	})
+}
--- a/internal/node/gate/serve.go
+++ b/internal/node/gate/serve.go
@@ -44,7 +44,7 @@
 	}
 	result.Queued = queued
 	g.mu.Lock()
-	result.Wait = g.limiter.Wait(&limit.Ticket{})
+	result.Wait = g.wait()
 	result.LoadKnown = true
 	g.mu.Unlock()
 	g.logFailure(c, result)
@@ -64,7 +64,7 @@
 	s := g.State()
 	g.log.Warn().Str("request", c.Attempt).Str("service", c.Service).Str("outcome", r.Outcome.String()).
 		Str("reason", string(r.Reason)).Int("status", status).Str("target", s.ID).Int64("seq", s.Seq).
-		Int("running", s.Running).Int("waiting", s.Waiting).Int("limit", s.Limit).Bool("limited", s.Limited).Float64("rate-limit", s.RateLimit).
+		Int("running", s.Running).Int("waiting", s.Waiting).Int("limit", s.Limit).Float64("rate-limit", s.RateLimit).
 		Int64("queued-ms", r.Queued.Milliseconds()).Int64("wait-ms", r.Wait.Milliseconds()).
 		Int64("patience-ms", c.MaxWait.Milliseconds()).Int64("left-ms", time.Until(c.Deadline).Milliseconds()).
 		Bool("nested", c.Nested).Msg("call refused or failed at the gate")
@@ -100,7 +100,7 @@
 	if g.limiter.Reclaim(timer.Now()) {
 		wake(g.startQueued())
 	}
-	wait := g.limiter.Wait(t)
+	wait := g.limiter.Wait(timer.Now(), t)
 	if wait > c.MaxWait {
 		g.mu.Unlock()
 		return notRun(call.Busy, wait), false
@@ -110,6 +110,7 @@
 	if verdict == limit.Queued {
 		ready = make(chan bool, 1)
 		g.waiting[t] = ready
+		g.scheduleStart()
 	}
 	g.evict(evicted)
 	g.mu.Unlock()
@@ -155,10 +156,10 @@
 	defer g.mu.Unlock()
 	if g.limiter.Cancel(t) {
 		delete(g.waiting, t)
-		return canceled(reason, g.limiter.RetryAfter()), false
+		return canceled(reason, g.limiter.RetryAfter(timer.Now())), false
 	}
 	if started := <-ready; !started {
-		return canceled(reason, g.limiter.RetryAfter()), false
+		return canceled(reason, g.limiter.RetryAfter(timer.Now())), false
 	}
 	if reason == call.Expired {
 		return call.Result{}, true
@@ -178,7 +179,7 @@
 func (g *Gate) retryAfter() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.limiter.RetryAfter()
+	return g.limiter.RetryAfter(timer.Now())
 }
 
 func notRun(reason call.Reason, retryAfter time.Duration) call.Result {
@@ -208,6 +209,7 @@
 			g.evict(t)
 		}
 		if started == nil {
+			g.scheduleStart()
 			return woken
 		}
 		if ready, ok := g.waiting[started]; ok {
--- a/internal/node/gate/target.go
+++ b/internal/node/gate/target.go
@@ -40,9 +40,7 @@
 	Waiting int
 	// Limit is the concurrency limit, in requests.
 	Limit int
-	// Limited says that the target names a rate limit, and RateLimit which one, in requests
-	// per second.
-	Limited   bool
+	// RateLimit is the number of requests per second that the target accepts, 0 for no limit.
 	RateLimit float64
 	// Sent is the number of requests sent to targets since the node started.
 	Sent uint64
@@ -124,7 +122,8 @@
 	if restarted {
 		g.serviceTime, g.callersTime = serviceTime{}, serviceTime{}
 		g.failed, g.callersFailed = newFailureRate(), newFailureRate()
-		g.limited, g.rateLimit, g.targetLeaving = false, 0, false
+		g.rateLimit, g.targetLeaving = 0, false
+		g.limiter.LiftRate()
 	}
 	g.target = t
 	g.announced = true
