node: the rate limit of a target outlasts a restart of the node beside it

A target got 21 to 29 requests in 4 s where 17 are allowed when its node was killed and started again under load. Cause: only the gate kept the limit, so that its next process sent what came until the first response. Change: results carry the limit back to the entry that sent the call, and calls to that target carry it forward; a gate that has read no response yet takes over the lowest that a call brings (log field source: caller). The first response decides from then on. Ruled out: keeping it in the platform's store (a write for each change, and not there in an outage). New: TestTargetRateLimitIsAdopted, TestCallsCarryRateLimitOfTarget, a round trip in TestHeaderFields.

--- a/internal/node/call/call.go
+++ b/internal/node/call/call.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -20,7 +21,8 @@
 	// Call.EncodeField writes them.
 	FieldCall = "Fp-Call"
 	// FieldLoad carries the expected queueing time of a new call at the gate and the
-	// time that this request spent in the queue, both in milliseconds.
+	// time that this request spent in the queue, both in milliseconds, and the rate limit of
+	// the target, if it has one, in requests per second.
 	FieldLoad = "Fp-Load"
 	// FieldRefused marks a response that comes from the gate and not from the target.
 	// It carries the Reason and the retry delay in milliseconds.
@@ -47,6 +49,10 @@
 	// MaxWait bounds the queueing time: a gate that expects a longer wait refuses the
 	// call at once.
 	MaxWait time.Duration
+	// TargetRateLimit is the rate limit of the target as the sending node has last seen it,
+	// in requests per second, or 0 if it knows none. A gate that has just started takes it
+	// over.
+	TargetRateLimit float64
 	// Priority ranks requests; 0 is the highest.
 	Priority int
 	// Nested marks a call that a target makes while it runs another request.
@@ -134,6 +140,8 @@
 	// LoadKnown says that Wait came from the gate. The results of calls that were cancelled,
 	// or whose responses were lost, carry no load.
 	LoadKnown bool
+	// RateLimit is the rate limit of the target, in requests per second, or 0 for none.
+	RateLimit float64
 	// Queued is how long the request waited at the gate.
 	Queued time.Duration
 	// Reached says that the request was, or may have been, sent to a target.
@@ -147,9 +155,9 @@
 )
 
 // EncodeField returns the value of FieldCall: service, priority, flags, and the
-// milliseconds of queueing time allowed, to the deadline and to the due time,
-// separated by commas. Times are relative to now, so that the clocks of nodes need
-// not agree.
+// milliseconds of queueing time allowed, to the deadline and to the due time, and the
+// rate limit of the target if one is known, separated by commas. Times are relative to
+// now, so that the clocks of nodes need not agree.
 func (c *Call) EncodeField(now time.Time) string {
 	flags := ""
 	if c.Nested {
@@ -158,18 +166,37 @@
 	if c.Idempotent {
 		flags += flagIdempotent
 	}
-	return strings.Join([]string{
+	parts := []string{
 		c.Service,
 		strconv.Itoa(c.Priority),
 		flags,
 		strconv.FormatInt(c.MaxWait.Milliseconds(), 10),
 		strconv.FormatInt(c.Deadline.Sub(now).Milliseconds(), 10),
 		strconv.FormatInt(c.Due.Sub(now).Milliseconds(), 10),
-	}, ",")
+	}
+	if c.TargetRateLimit > 0 {
+		parts = append(parts, formatRate(c.TargetRateLimit))
+	}
+	return strings.Join(parts, ",")
+}
+
+// formatRate returns the text of a rate, in requests per second.
+func formatRate(perSecond float64) string {
+	return strconv.FormatFloat(perSecond, 'g', -1, 64)
+}
+
+// parseRate parses a rate in requests per second, and returns 0 for text that is none.
+func parseRate(text string) float64 {
+	rate, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) {
+		return 0
+	}
+	return max(rate, 0)
 }
 
 var errMalformedCall = errors.New("malformed " + FieldCall)
 
+// fieldParts is the number of parts of a value of FieldCall without a rate limit.
 const fieldParts = 6
 
 // DecodeField parses a value of FieldCall that arrived at now. Attempt, Request,
@@ -177,7 +204,7 @@
 // value is malformed.
 func DecodeField(value string, now time.Time) (*Call, error) {
 	parts := strings.Split(value, ",")
-	if len(parts) != fieldParts || parts[0] == "" {
+	if len(parts) < fieldParts || len(parts) > fieldParts+1 || parts[0] == "" {
 		return nil, errMalformedCall
 	}
 	priority, err1 := strconv.Atoi(parts[1])
@@ -187,6 +214,10 @@
 	if err := errors.Join(err1, err2, err3, err4); err != nil {
 		return nil, errors.Join(errMalformedCall, err)
 	}
+	rateLimit := 0.0
+	if len(parts) > fieldParts {
+		rateLimit = parseRate(parts[fieldParts])
+	}
 	return &Call{
 		Service:    parts[0],
 		Priority:   priority,
@@ -195,23 +226,36 @@
 		MaxWait:    time.Duration(maxWait) * time.Millisecond,
 		Deadline:   now.Add(time.Duration(left) * time.Millisecond),
 		Due:        now.Add(time.Duration(due) * time.Millisecond),
+
+		TargetRateLimit: rateLimit,
 	}, nil
 }
 
-// EncodeLoad returns the value of FieldLoad, Wait and Queued separated by a comma,
-// or an empty string where both are 0.
+// EncodeLoad returns the value of FieldLoad, Wait, Queued and, if it is not 0, RateLimit,
+// separated by commas, or an empty string where all are 0.
 func EncodeLoad(r Result) string {
 	wait, queued := r.Wait.Milliseconds(), r.Queued.Milliseconds()
-	if wait == 0 && queued == 0 {
+	if wait == 0 && queued == 0 && r.RateLimit == 0 {
 		return ""
 	}
-	return strconv.FormatInt(wait, 10) + "," + strconv.FormatInt(queued, 10)
+	value := strconv.FormatInt(wait, 10) + "," + strconv.FormatInt(queued, 10)
+	if r.RateLimit == 0 {
+		return value
+	}
+	return value + "," + formatRate(r.RateLimit)
 }
 
-// DecodeLoad parses a value of FieldLoad; a malformed number counts as 0.
-func DecodeLoad(value string) (wait, queued time.Duration) {
-	first, second, _ := strings.Cut(value, ",")
-	return millis(first), millis(second)
+// DecodeLoad parses a value of FieldLoad into Wait, Queued and RateLimit of a result; a
+// malformed number counts as 0.
+func DecodeLoad(value string) Result {
+	first, rest, _ := strings.Cut(value, ",")
+	second, third, _ := strings.Cut(rest, ",")
+	return Result{
+		LoadKnown: true,
+		Wait:      millis(first),
+		Queued:    millis(second),
+		RateLimit: parseRate(third),
+	}
 }
 
 // millis parses a number of milliseconds and returns 0 for malformed text.
--- a/internal/node/call/call_test.go
+++ b/internal/node/call/call_test.go
@@ -24,17 +24,28 @@
 		got, err := DecodeField(c.EncodeField(now), now)
 		So(err, ShouldBeNil)
 		So(got, ShouldResemble, c)
+		c.TargetRateLimit = 22.9
+		got, err = DecodeField(c.EncodeField(now), now)
+		So(err, ShouldBeNil)
+		So(got, ShouldResemble, c)
 	})
 	Convey("A malformed FieldCall is an error", t, func() {
-		for _, text := range []string{"", "quota", ",0,,1,1,1", "quota,x,,1,1,1", "quota,0,,1,1", "quota,0,,1,99999999999999,1"} {
+		for _, text := range []string{"", "quota", ",0,,1,1,1", "quota,x,,1,1,1", "quota,0,,1,1", "quota,0,,1,99999999999999,1", "quota,0,,1,1,1,2,3"} {
 			_, err := DecodeField(text, time.Now())
 			So(err, ShouldNotBeNil)
 		}
 	})
 	Convey("FieldLoad and FieldRefused decode to what was encoded, and a malformed delay counts as 0", t, func() {
-		wait, queued := DecodeLoad(EncodeLoad(Result{Wait: 40 * time.Millisecond, Queued: 7 * time.Millisecond}))
-		So(wait, ShouldEqual, 40*time.Millisecond)
-		So(queued, ShouldEqual, 7*time.Millisecond)
+		load := Result{
+			LoadKnown: true,
+			Wait:      40 * time.Millisecond,
+			Queued:    7 * time.Millisecond,
+		}
+		So(DecodeLoad(EncodeLoad(load)), ShouldResemble, load)
+		load.RateLimit = 0.5
+		So(DecodeLoad(EncodeLoad(load)), ShouldResemble, load)
+		So(DecodeLoad("40,x,NaN").Queued, ShouldEqual, 0)
+		So(DecodeLoad("40,x,NaN").RateLimit, ShouldEqual, 0)
 		So(EncodeLoad(Result{}), ShouldBeEmpty)
 		reason, after := DecodeRefused(EncodeRefused(Result{Reason: Busy, RetryAfter: 300 * time.Millisecond}))
 		So(reason, ShouldEqual, Busy)
--- a/internal/node/entry/dispatch.go
+++ b/internal/node/entry/dispatch.go
@@ -237,6 +237,7 @@
 	q.tried = append(q.tried, node.Name)
 	c := *q.call
 	c.MaxWait = d.maxWait()
+	c.TargetRateLimit = e.picker.rateLimit(&node)
 	e.picker.begin(&node)
 	began := time.Now()
 	go func() {
--- a/internal/node/entry/entry_test.go
+++ b/internal/node/entry/entry_test.go
@@ -450,3 +450,30 @@
 		So(seen["b"], ShouldBeBetween, 18, 22)
 	})
 }
+
+// TestCallsCarryRateLimitOfTarget guards against a target whose rate limit is forgotten when the
+// node beside it restarts: the nodes that call it tell that node what they know.
+func TestCallsCarryRateLimitOfTarget(t *testing.T) {
+	Convey("A call carries the rate limit that its node reported last, and none to other nodes", t, func() {
+		f := newFakeFleet()
+		limit := 7.5
+		carried := map[string][]float64{}
+		for _, name := range []string{"home", "other"} {
+			f.handlers[name] = func(c *call.Call) call.Result {
+				carried[name] = append(carried[name], c.TargetRateLimit)
+				r := respondWith(fasthttp.StatusOK)(c)
+				if name == "home" {
+					r = notRun(call.Busy)
+					r.LoadKnown, r.RateLimit = true, limit
+				}
+				return r
+			}
+		}
+		for _, next := range []float64{0, 0, 0} {
+			So(f.get("/safe/x", "secret").Status, ShouldEqual, fasthttp.StatusOK)
+			limit = next
+		}
+		So(carried["home"], ShouldResemble, []float64{0, 7.5, 0})
+		So(carried["other"], ShouldResemble, []float64{0, 0, 0})
+	})
+}
--- a/internal/node/entry/picker.go
+++ b/internal/node/entry/picker.go
@@ -78,6 +78,9 @@
 	failureRate      float64
 	failureRateAt    time.Time
 	unreachableUntil time.Time
+	// rateLimit is the rate limit of the target that its gate reported last, in requests per
+	// second, 0 for none.
+	rateLimit float64
 }
 
 // picker balances the load of a service over the nodes beside its targets: it picks
@@ -271,9 +274,18 @@
 	if r.LoadKnown {
 		s.wait = r.Wait
 		s.waitAt = now
+		s.rateLimit = r.RateLimit
 	}
 }
 
+// rateLimit returns the rate limit that the gate of a node's target reported last, in
+// requests per second, 0 for none.
+func (p *picker) rateLimit(n *peers.Node) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.targetStats(n).rateLimit
+}
+
 // mean returns the mean service time measured for a node's target, 0 where there is
 // none.
 func (p *picker) mean(n *peers.Node) time.Duration {
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -66,7 +66,9 @@
 	// announced says that a target has announced itself.
 	announced bool
 	// rateLimit is the number of requests per second that the target accepts, 0 for no limit.
-	rateLimit float64
+	// rateLimitKnown says that it is from a response that this process has read.
+	rateLimit      float64
+	rateLimitKnown bool
 	// paced starts queued requests that the rate limit holds up; nil before the first.
 	paced *time.Timer
 	// targetLeaving says that the target announces in its responses that it is about to stop.
--- a/internal/node/gate/notice.go
+++ b/internal/node/gate/notice.go
@@ -67,17 +67,32 @@
 	if n.rateLimit == 0 && !n.signed {
 		return
 	}
-	g.setRateLimit(c, n.rateLimit)
+	g.rateLimitKnown = true
+	g.setRateLimit(c, n.rateLimit, "response")
+}
+
+// adoptRateLimit takes over the rate limit that the calling node has seen the target name,
+// where this node's process has seen no response of the target yet.
+func (g *Gate) adoptRateLimit(c *call.Call) {
+	if c.TargetRateLimit == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.rateLimitKnown || g.rateLimit > 0 && g.rateLimit <= c.TargetRateLimit {
+		return
+	}
+	g.setRateLimit(c, c.TargetRateLimit, "caller")
 }
 
 // setRateLimit limits the rate of requests to the target, or lifts the limit where it is 0.
-// g.mu must be held.
-func (g *Gate) setRateLimit(c *call.Call, perSecond float64) {
+// source says where the limit was learnt; g.mu must be held.
+func (g *Gate) setRateLimit(c *call.Call, perSecond float64, source string) {
 	if perSecond == g.rateLimit {
 		return
 	}
 	g.targetLog.Info().Str("request", c.Attempt).Str("target", g.target.ID).Int64("born", g.target.StartedAt).
-		Float64("rate-limit", perSecond).Float64("rate-limit-before", g.rateLimit).
+		Float64("rate-limit", perSecond).Float64("rate-limit-before", g.rateLimit).Str("source", source).
 		Uint64("sent", g.sent).Msg("rate limit of the target changed")
 	g.rateLimit = perSecond
 	if perSecond == 0 {
--- a/internal/node/gate/notice_test.go
+++ b/internal/node/gate/notice_test.go
@@ -93,3 +93,31 @@
 		So(g.State().RateLimit, ShouldEqual, 0)
 	})
 }
+
+// TestTargetRateLimitIsAdopted guards against a target that gets more than it accepts after a
+// restart of its node, whose gate has read no response yet.
+func TestTargetRateLimitIsAdopted(t *testing.T) {
+	Convey("A gate takes over the limit that calls carry until the target responds", t, func() {
+		s := newServer(t, responding("X-Signature: s\r\n"))
+		g := newGate(s, 40)
+		hinted := func(id string, limit float64) *call.Call {
+			c := newCall(id)
+			c.TargetRateLimit = limit
+			return c
+		}
+		var calls []*call.Call
+		for i := range 10 {
+			calls = append(calls, hinted(strconv.Itoa(i), 4))
+		}
+		results := serveAll(context.Background(), g, calls...)
+		So(eventually(func() bool { return g.State().Waiting > 0 }), ShouldBeTrue)
+		So(g.State().RateLimit, ShouldEqual, 4)
+		close(s.release)
+		for range calls {
+			r := <-results
+			So(r.Outcome, ShouldEqual, call.Answered)
+		}
+		So(g.State().RateLimit, ShouldEqual, 0)
+		So((<-serveAll(context.Background(), g, hinted("late", 4))).RateLimit, ShouldEqual, 0)
+	})
+}
--- a/internal/node/gate/serve.go
+++ b/internal/node/gate/serve.go
@@ -33,6 +33,7 @@
 	if !c.Due.IsZero() {
 		ticket.Due = toInstant(c.Due)
 	}
+	g.adoptRateLimit(c)
 	offered := time.Now()
 	result, admitted := g.admit(ctx, c, ticket)
 	queued := time.Since(offered)
@@ -45,6 +46,7 @@
 	result.Queued = queued
 	g.mu.Lock()
 	result.Wait = g.wait()
+	result.RateLimit = g.rateLimit
 	result.LoadKnown = true
 	g.mu.Unlock()
 	g.logFailure(c, result)
--- a/internal/node/gate/target.go
+++ b/internal/node/gate/target.go
@@ -122,7 +122,7 @@
 	if restarted {
 		g.serviceTime, g.callersTime = serviceTime{}, serviceTime{}
 		g.failed, g.callersFailed = newFailureRate(), newFailureRate()
-		g.rateLimit, g.targetLeaving = 0, false
+		g.rateLimit, g.rateLimitKnown, g.targetLeaving = 0, false, false
 		g.limiter.LiftRate()
 	}
 	g.target = t
--- a/internal/node/remote/remote.go
+++ b/internal/node/remote/remote.go
@@ -139,10 +139,7 @@
 // target; the echo of the attempt's ID, which the receiving node left out, is added
 // to them again.
 func (l *Links) decode(a *frame.Answer, attempt string) call.Result {
-	r := call.Result{
-		LoadKnown: true,
-	}
-	r.Wait, r.Queued = call.DecodeLoad(a.Header.Get(call.FieldLoad))
+	r := call.DecodeLoad(a.Header.Get(call.FieldLoad))
 	refused := a.Header.Get(call.FieldRefused)
 	if refused == "" {
 		r.Outcome = call.Answered
