admit/limit: a rate-limited target queues no more than it starts in 250 ms

Cause: the queue of a limited target grew to the 480 ms that a request may wait, and was then overtaken by more urgent requests until it was taken out at 1 s, too late for another target. A longer queue starts no more requests. Change: the maximum queue is what starts in 250 ms, one request at least; the last of a full queue is refused at once, when another target can still answer in time. Waiting requests keep their order.

--- a/internal/admit/limit/limit.go
+++ b/internal/admit/limit/limit.go
@@ -227,8 +227,11 @@
 	return max(time.Duration(float64(rank)/l.limit*float64(l.serviceTime)), l.rateWait(now, rank))
 }
 
-// maxQueueLength returns the maximum queue length at the current limit.
+// maxQueueLength returns the maximum queue length at the current limits.
 func (l *Limiter) maxQueueLength() int {
+	if l.rate != nil {
+		return l.maxRateQueue()
+	}
 	return max(minQueue, int(l.limit)*queueFactor)
 }
 
--- a/internal/admit/limit/rate.go
+++ b/internal/admit/limit/rate.go
@@ -14,6 +14,9 @@
 	MinRate = 0.5
 	// rateBurst is the time over which unused rate accumulates.
 	rateBurst = 500 * time.Millisecond
+	// rateQueue is the time in which a full queue empties at the rate limit. It bridges gaps
+	// between arrivals; a longer queue starts no more requests, it only delays them all.
+	rateQueue = 250 * time.Millisecond
 )
 
 // SetRate limits the rate at which requests start, in requests per second. A limit that
@@ -62,6 +65,11 @@
 	return time.Duration(missing / float64(l.rate.Limit()) * float64(time.Second))
 }
 
+// maxRateQueue returns the maximum queue length under the rate limit.
+func (l *Limiter) maxRateQueue() int {
+	return max(1, int(float64(l.rate.Limit())*rateQueue.Seconds()))
+}
+
 // wall converts an instant to the type that the rate limiter takes. Only differences
 // between the results have a meaning.
 func wall(i timer.Instant) time.Time {
