node/entry: a leaving target is not used again after a restart of its node

Nodes that had passed on a response with Server-Leaving sent the same server requests again after its node was killed and started while the store was away: 2 in 2 s in 3 of 3 runs of TestServeLeavingTargetAfterRestart, each from another node's first call. Change: each entry remembers the starts of targets that said so, and does not pick them. Records of nodes carry the start time of their target, so that the next start under the same ID is used. Evidence: the test passes in 3 of 3 runs; new: TestLeavingTargetIsNotPicked, TestTargetsTellCallingNodes (over real connections; the set-up of TestSilentNodeKeepsItsCalls moved to connect, its checks stay). TestManyTargetsOnRecord follows the new key.

--- a/internal/mesh/peers/digest.go
+++ b/internal/mesh/peers/digest.go
@@ -85,6 +85,7 @@
 	incarnation int64
 	leaving     bool
 	targetID    string
+	startedAt   int64
 	service     string
 	slots       uint16
 }
@@ -95,6 +96,7 @@
 		incarnation: n.Incarnation,
 		leaving:     n.Leaving,
 		targetID:    n.TargetID,
+		startedAt:   n.TargetStartedAt,
 		service:     n.Service,
 		slots:       n.Slots,
 	}
--- a/internal/mesh/peers/node.go
+++ b/internal/mesh/peers/node.go
@@ -44,7 +44,9 @@
 	Leaving bool
 	// TargetID is empty until the target has announced itself.
 	TargetID string
-	Service  string
+	// TargetStartedAt is when the target started, in Unix milliseconds, 0 if it doesn't say.
+	TargetStartedAt int64
+	Service         string
 	// Slots is the number of requests that the target runs concurrently.
 	Slots uint16
 	// Open says that the node accepts calls for its target.
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -478,6 +478,7 @@
 func (a *Agent) publishTarget(s gate.State, urgent bool) {
 	a.peers.Update(timer.Now(), urgent, func(n *peers.Node) {
 		n.TargetID = s.ID
+		n.TargetStartedAt = s.StartedAt
 		if s.Service != "" {
 			n.Service = s.Service
 		}
--- a/internal/node/call/call.go
+++ b/internal/node/call/call.go
@@ -142,6 +142,8 @@
 	LoadKnown bool
 	// RateLimit is the rate limit of the target, in requests per second, or 0 for none.
 	RateLimit float64
+	// TargetLeaving says that the target's response names it as about to stop.
+	TargetLeaving bool
 	// Queued is how long the request waited at the gate.
 	Queued time.Duration
 	// Reached says that the request was, or may have been, sent to a target.
--- a/internal/node/entry/picker.go
+++ b/internal/node/entry/picker.go
@@ -81,18 +81,28 @@
 	// rateLimit is the rate limit of the target that its gate reported last, in requests per
 	// second, 0 for none.
 	rateLimit float64
+	// leftAt is when a response of the target said that it is about to stop. The node beside it
+	// may forget that in a restart.
+	leftAt time.Time
+}
+
+// targetKey identifies one start of a target. A VM may get another target, and a target may
+// start again under its ID.
+type targetKey struct {
+	node      string
+	target    string
+	startedAt int64
 }
 
 // picker balances the load of a service over the nodes beside its targets: it picks
 // the node with the least cost, which is the expected latency plus penalties for
 // failures and for traffic between failure domains. It is safe for concurrent use.
 type picker struct {
-	self   string
-	domain string
-	region string
-	mu     sync.Mutex
-	// targets is keyed by node and target ID, since a VM may get another target.
-	targets map[string]*targetStats
+	self    string
+	domain  string
+	region  string
+	mu      sync.Mutex
+	targets map[targetKey]*targetStats
 }
 
 // newPicker returns a picker for the node with the given name, failure domain and
@@ -102,14 +112,18 @@
 		self:    self,
 		domain:  domain,
 		region:  region,
-		targets: map[string]*targetStats{},
+		targets: map[targetKey]*targetStats{},
 	}
 }
 
 // targetStats returns the measurements of a node's target, which it creates if there
 // are none. It must be called with p.mu held.
 func (p *picker) targetStats(n *peers.Node) *targetStats {
-	key := n.Name + "/" + n.TargetID
+	key := targetKey{
+		node:      n.Name,
+		target:    n.TargetID,
+		startedAt: n.TargetStartedAt,
+	}
 	s, ok := p.targets[key]
 	if !ok {
 		p.trim()
@@ -119,23 +133,36 @@
 	return s
 }
 
-// maxTargets bounds the targets on record, most of which no longer exist.
-const maxTargets = 4096
+const (
+	// maxTargets bounds the targets on record, most of which no longer exist.
+	maxTargets = 4096
+	// leavingTTL is how long a target that said that it leaves is not used. Its next start has
+	// another start time, unless its announcements tell none.
+	leavingTTL = 24 * time.Hour
+)
 
-// trim deletes the targets without calls in flight once there are maxTargets. It must be called with p.mu held.
+// trim deletes the targets without calls in flight, except for those that are leaving, once
+// there are maxTargets. It must be called with p.mu held.
 func (p *picker) trim() {
 	if len(p.targets) < maxTargets {
 		return
 	}
+	now := time.Now()
 	for key, s := range p.targets {
-		if s.inFlight == 0 {
+		if s.inFlight == 0 && !s.leaving(now) {
 			delete(p.targets, key)
 		}
 	}
 }
 
+// leaving reports whether the target has said that it is about to stop.
+func (s *targetStats) leaving(now time.Time) bool {
+	return !s.leftAt.IsZero() && now.Sub(s.leftAt) < leavingTTL
+}
+
 // best returns the node with the least cost for which skip is false, and false where
-// there is none. Suspect nodes are a last resort.
+// there is none. Suspect nodes are a last resort, and those whose target is leaving are not
+// used.
 func (p *picker) best(now time.Time, nodes []peers.Node, prof profile, suspect, skip func(name string) bool) (peers.Node, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -143,7 +170,7 @@
 	best := -1
 	least := time.Duration(0)
 	for i := range nodes {
-		if skip(nodes[i].Name) {
+		if skip(nodes[i].Name) || p.targetStats(&nodes[i]).leaving(now) {
 			continue
 		}
 		cost := p.cost(now, &nodes[i], prof, baseline)
@@ -271,6 +298,9 @@
 	case unreachable:
 		s.unreachableUntil = now.Add(unreachableTTL)
 	}
+	if r.TargetLeaving {
+		s.leftAt = now
+	}
 	if r.LoadKnown {
 		s.wait = r.Wait
 		s.waitAt = now
--- a/internal/node/entry/picker_test.go
+++ b/internal/node/entry/picker_test.go
@@ -181,7 +181,42 @@
 		last := nodeWithLoad("last", "d1", "r1", 0, 0, 0)
 		p.begin(&last)
 		So(len(p.targets), ShouldBeLessThan, maxTargets)
-		So(p.targets["last/"], ShouldNotBeNil)
-		So(p.targets["last/"].inFlight, ShouldEqual, 1)
+		key := targetKey{
+			node: "last",
+		}
+		So(p.targets[key], ShouldNotBeNil)
+		So(p.targets[key].inFlight, ShouldEqual, 1)
+	})
+}
+
+// TestLeavingTargetIsNotPicked guards against calls to a target that has said that it leaves,
+// where the node beside it has forgotten that in a restart and reports the target as open.
+func TestLeavingTargetIsNotPicked(t *testing.T) {
+	Convey("Given a node whose target has said in a response that it leaves", t, func() {
+		p := newPicker("self", "d1", "r1")
+		leaving := nodeWithLoad("a", "d1", "r1", 20, 0, 0)
+		leaving.TargetID, leaving.TargetStartedAt = "t1", 100
+		far := nodeWithLoad("far", "d3", "r2", 400, 400, 50)
+		So(bestOf(p, leaving, far), ShouldEqual, "a")
+		p.begin(&leaving)
+		p.end(time.Now(), &leaving, answered, time.Millisecond, call.Result{TargetLeaving: true})
+		Convey("it is not picked, also after other responses, a restart of its node and with many targets on record", func() {
+			p.begin(&leaving)
+			p.end(time.Now(), &leaving, answered, time.Millisecond, call.Result{})
+			restarted := leaving
+			restarted.Incarnation++
+			for i := range maxTargets {
+				n := nodeWithLoad(fmt.Sprintf("n%d", i), "d1", "r1", 0, 0, 0)
+				p.begin(&n)
+				p.end(time.Now(), &n, neutral, 0, call.Result{})
+			}
+			So(bestOf(p, restarted, far), ShouldEqual, "far")
+			So(bestOf(p, restarted), ShouldBeEmpty)
+		})
+		Convey("its next start is picked", func() {
+			next := leaving
+			next.TargetStartedAt = 200
+			So(bestOf(p, next, far), ShouldEqual, "a")
+		})
 	})
 }
--- a/internal/node/gate/notice.go
+++ b/internal/node/gate/notice.go
@@ -9,6 +9,7 @@
 	"fuchsiapier/internal/base/timer"
 	"fuchsiapier/internal/node/call"
 	"fuchsiapier/internal/pipe/httpc"
+	"fuchsiapier/internal/pipe/msg"
 )
 
 // notice is what a target says about itself in the header of a response.
@@ -27,7 +28,7 @@
 // parseNotice reads the notice in a response.
 func (g *Gate) parseNotice(a *httpc.Answer) notice {
 	n := notice{
-		leaving: string(a.Header.Peek(g.names.Leaving)) == "1",
+		leaving: string(a.Header.Peek(g.names.Leaving)) == msg.LeavingValue,
 		signed:  len(a.Header.Peek(g.names.Signature)) > 0,
 	}
 	value := string(a.Header.Peek(g.names.RateLimit))
--- a/internal/node/gate/send.go
+++ b/internal/node/gate/send.go
@@ -165,6 +165,8 @@
 		Outcome: call.Answered,
 		Answer:  &answer.Response,
 		Reached: true,
+
+		TargetLeaving: g.parseNotice(answer).leaving,
 	}
 }
 
--- a/internal/node/remote/remote.go
+++ b/internal/node/remote/remote.go
@@ -41,8 +41,10 @@
 // Links holds the connections to other nodes. It is safe for concurrent use.
 type Links struct {
 	self peers.Node
-	// attempt is the name of the header field that carries the attempt's ID.
+	// attempt is the name of the header field that carries the attempt's ID, leaving that of
+	// the one in responses of a target that is about to stop.
 	attempt string
+	leaving string
 	// bodies bounds the memory of frames that are read.
 	bodies *httpc.Bodies
 	mu     sync.Mutex
@@ -55,6 +57,7 @@
 	l := &Links{
 		self:    self,
 		attempt: names.Attempt,
+		leaving: names.Leaving,
 		bodies:  bodies,
 		clients: map[string]*frame.Client{},
 	}
@@ -149,6 +152,7 @@
 			Body:   a.Body,
 		}
 		r.Reached = true
+		r.TargetLeaving = a.Header.Get(l.leaving) == msg.LeavingValue
 		return r
 	}
 	r.Reason, r.RetryAfter = call.DecodeRefused(refused)
--- a/internal/node/remote/remote_test.go
+++ b/internal/node/remote/remote_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -33,6 +34,45 @@
 	}
 }
 
+var names = msg.Names{
+	Attempt: "X-Id",
+	Leaving: "X-Leaving",
+}
+
+// connect starts a node with a gate and returns the links of another node, which the test
+// closes, and the function that sends a call over them.
+func connect(t *testing.T, gate Gate) (links *Links, send func() call.Result) {
+	t.Helper()
+	bodies := httpc.NewBodies(1<<20, 1<<20)
+	receiver := NewReceiver(gate, names, func() []byte { return nil })
+	server, stop, err := frame.Serve("127.0.0.1:0", receiver.Handle, bodies, zerolog.Nop(), names.Attempt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	_, port, _ := net.SplitHostPort(server.Address())
+	gatePort, _ := strconv.ParseUint(port, 10, 16)
+	links, closeLinks := New(peers.Node{Name: "here"}, names, bodies)
+	t.Cleanup(closeLinks)
+	return links, func() call.Result {
+		return links.Send(context.Background(), peers.Node{
+			Name:     "there",
+			IP:       "127.0.0.1",
+			GatePort: uint16(gatePort),
+		}, &call.Call{
+			Attempt:  "a1",
+			Service:  "quota",
+			Deadline: time.Now().Add(10 * time.Second),
+			Due:      time.Now().Add(time.Second),
+			Request: &msg.Request{
+				Method: "POST",
+				URI:    "/x",
+				Host:   "h",
+			},
+		})
+	}
+}
+
 // TestSilentNodeKeepsItsCalls guards against a node that is only silent for a while, is taken
 // for lost, and whose running calls are given up or sent again.
 func TestSilentNodeKeepsItsCalls(t *testing.T) {
@@ -41,34 +81,9 @@
 			release: make(chan struct{}),
 			calls:   make(chan struct{}, 2),
 		}
-		names := msg.Names{Attempt: "X-Id"}
-		bodies := httpc.NewBodies(1<<20, 1<<20)
-		receiver := NewReceiver(gate, names, func() []byte { return nil })
-		server, stop, err := frame.Serve("127.0.0.1:0", receiver.Handle, bodies, zerolog.Nop(), "X-Id")
-		So(err, ShouldBeNil)
-		defer stop()
-		_, port, _ := net.SplitHostPort(server.Address())
-		gatePort, _ := strconv.ParseUint(port, 10, 16)
-		links, closeLinks := New(peers.Node{Name: "here"}, names, bodies)
-		defer closeLinks()
+		links, send := connect(t, gate)
 		result := make(chan call.Result, 1)
-		go func() {
-			result <- links.Send(context.Background(), peers.Node{
-				Name:     "there",
-				IP:       "127.0.0.1",
-				GatePort: uint16(gatePort),
-			}, &call.Call{
-				Attempt:  "a1",
-				Service:  "quota",
-				Deadline: time.Now().Add(10 * time.Second),
-				Due:      time.Now().Add(time.Second),
-				Request: &msg.Request{
-					Method: "POST",
-					URI:    "/x",
-					Host:   "h",
-				},
-			})
-		}()
+		go func() { result <- send() }()
 		select {
 		case <-gate.calls:
 		case r := <-result:
@@ -82,3 +97,45 @@
 		So(len(gate.calls), ShouldEqual, 0)
 	})
 }
+
+// fixedGate answers every call with the same result.
+type fixedGate struct {
+	result call.Result
+}
+
+func (g *fixedGate) Serve(context.Context, *call.Call) call.Result { return g.result }
+
+// TestTargetsTellCallingNodes guards against what a target says of itself that does not reach the
+// node that sent the call: its rate limit, and that it leaves.
+func TestTargetsTellCallingNodes(t *testing.T) {
+	Convey("A result tells the calling node what it told at the gate", t, func() {
+		gate := &fixedGate{}
+		_, send := connect(t, gate)
+		gate.result = call.Result{
+			Outcome:   call.Answered,
+			RateLimit: 22.9,
+			Answer:    msg.Plain(200, "done").With(names.Leaving, msg.LeavingValue),
+		}
+		r := send()
+		So(r.Outcome, ShouldEqual, call.Answered)
+		So(r.RateLimit, ShouldEqual, 22.9)
+		So(r.TargetLeaving, ShouldBeTrue)
+		So(strings.ToLower(string(r.Answer.Fields)), ShouldContainSubstring, "x-leaving: 1")
+		gate.result = call.Result{
+			Outcome:   call.NotRun,
+			Reason:    call.Busy,
+			RateLimit: 4,
+		}
+		r = send()
+		So(r.Reason, ShouldEqual, call.Busy)
+		So(r.RateLimit, ShouldEqual, 4)
+		So(r.TargetLeaving, ShouldBeFalse)
+		gate.result = call.Result{
+			Outcome: call.Answered,
+			Answer:  msg.Plain(200, "done"),
+		}
+		r = send()
+		So(r.RateLimit, ShouldEqual, 0)
+		So(r.TargetLeaving, ShouldBeFalse)
+	})
+}
--- a/internal/pipe/msg/msg.go
+++ b/internal/pipe/msg/msg.go
@@ -35,12 +35,15 @@
 	// RateLimit carries the requests per second, a decimal number, that the target that sent
 	// the response accepts from all callers together.
 	RateLimit string
-	// Leaving is in the responses of a target that is about to stop.
+	// Leaving has the value LeavingValue in the responses of a target that is about to stop.
 	Leaving string
 	// Scheme is the scheme of the Authorization field that carries a workspace key.
 	Scheme string
 }
 
+// LeavingValue is the value of the field Names.Leaving.
+const LeavingValue = "1"
+
 // Request is a request that has been read completely.
 type Request struct {
 	Method string
--- a/test/leaving_test.go
+++ b/test/leaving_test.go
@@ -7,6 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"fuchsiapier/lab/backend"
+	"fuchsiapier/lab/store"
 )
 
 const (
@@ -45,3 +46,28 @@
 		So(arrivalsAfter(c.vms[3].server.Runs(), from), ShouldBeGreaterThan, 0)
 	})
 }
+
+// TestServeLeavingTargetAfterRestart guards against requests of other nodes to a server that is
+// leaving after a restart of the node beside it, which can't learn of it from the
+// platform's store.
+func TestServeLeavingTargetAfterRestart(t *testing.T) {
+	Convey("Nodes that know that a server leaves send it nothing after a restart of its node", t, func() {
+		c := newCluster(t)
+		c.waitForFleet()
+		v := c.vms[1]
+		stop := loadThrough(c.vms, 2)
+		v.server.NameLeaving()
+		time.Sleep(drainTime)
+		stop()
+		c.store.SetFault(store.Unavailable)
+		v.kill()
+		v.startNode()
+		c.waitFor("the node is back", v.ready)
+		from := time.Now()
+		stop = loadThrough([]*vm{c.vms[0], c.vms[2], c.vms[3]}, 2)
+		time.Sleep(quietTime)
+		stop()
+		So(arrivalsAfter(v.server.Runs(), from), ShouldEqual, 0)
+		So(arrivalsAfter(c.vms[3].server.Runs(), from), ShouldBeGreaterThan, 0)
+	})
+}
