--- a/lab/backend/backend.go
+++ b/lab/backend/backend.go
@@ -61,8 +61,12 @@
 	Header  http.Header
 	Path    string
 	Body    string
-	// At is when the request arrived.
-	At time.Time
+	// At is when the request arrived, AnsweredAt when its response was sent, zero before.
+	At         time.Time
+	AnsweredAt time.Time
+	// RateLimit and Leaving are what the response says of the server.
+	RateLimit string
+	Leaving   bool
 }
 
 // behavior is what a running server may be told to change.
@@ -218,15 +222,19 @@
 	}
 	attempt := r.Header.Get(b.config.Names.Attempt)
 	b.mu.Lock()
+	now := b.behavior
+	run := len(b.runs)
 	b.runs = append(b.runs, Run{
-		Attempt: attempt,
-		Header:  r.Header.Clone(),
-		Path:    r.URL.Path,
-		Body:    string(body),
-		At:      time.Now(),
+		Attempt:   attempt,
+		Header:    r.Header.Clone(),
+		Path:      r.URL.Path,
+		Body:      string(body),
+		At:        time.Now(),
+		RateLimit: now.rateLimit,
+		Leaving:   now.leaving,
 	})
-	now := b.behavior
 	b.mu.Unlock()
+	defer b.answered(run)
 	time.Sleep(now.serviceTime)
 	if now.rateLimit != "" {
 		w.Header().Set(b.config.Names.RateLimit, now.rateLimit)
@@ -243,6 +251,13 @@
 	_, _ = fmt.Fprintf(w, "%s ran %s %s", b.config.ID, r.URL.Path, strings.TrimSpace(string(body)))
 }
 
+// answered records that the response of a run was sent.
+func (b *Backend) answered(run int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs[run].AnsweredAt = time.Now()
+}
+
 // call makes the nested call through the node on the VM. It derives the ID of
 // the nested attempt from that of the caller's.
 func (b *Backend) call(attempt string) error {
--- a/test/serve_test.go
+++ b/test/serve_test.go
@@ -41,9 +41,13 @@
 	ip      string
 	domain  string
 	service string
+	// server is the running server, started all that ran on the VM.
 	server  *backend.Backend
-	node    *exec.Cmd
-	exited  chan struct{}
+	started []*backend.Backend
+	// stopServer stops the running server.
+	stopServer func()
+	node       *exec.Cmd
+	exited     chan struct{}
 	// settingsFile is the path of the node's settings file.
 	settingsFile string
 }
@@ -67,6 +71,13 @@
 // newCluster starts two failure domains with a front service, which calls a back service,
 // and waits until requests at all nodes are served.
 func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	return newClusterOf(t, 1)
+}
+
+// newClusterOf starts a cluster as newCluster does, with that many servers of each service in
+// each failure domain.
+func newClusterOf(t *testing.T, serversPerService int) *cluster {
 	t.Helper()
 	s, stop, err := store.New()
 	if err != nil {
@@ -79,13 +90,13 @@
 	}
 	c.configure(1, "key-1", "key-2")
 	number := clusterCount.Add(1)
-	for i, placement := range []struct{ domain, service string }{{"d1", "front"}, {"d1", "back"}, {"d2", "front"}, {"d2", "back"}} {
+	for i := range 4 * serversPerService {
 		v := &vm{
 			cluster: c,
 			name:    fmt.Sprintf("vm-%d", i),
 			ip:      fmt.Sprintf("127.9.%d.%d", number, i+1),
-			domain:  placement.domain,
-			service: placement.service,
+			domain:  []string{"d1", "d2"}[i/2%2],
+			service: []string{"front", "back"}[i%2],
 		}
 		c.vms = append(c.vms, v)
 		v.startServer()
@@ -158,7 +169,8 @@
 		v.cluster.t.Fatal(err)
 	}
 	v.cluster.t.Cleanup(stop)
-	v.server = server
+	v.server, v.stopServer = server, stop
+	v.started = append(v.started, server)
 }
 
 // defaultRetrySlack is the retry budget of the settings that nodes start with.
