mesh/peers: a view exists from the start

Cause: the view is built when it is first asked for; two messages that arrive at once both found none, and the one that did not build it returned what it had read before. Change: New takes the first view. TestViewBeforeFirstMessage failed before and passes.

--- a/internal/mesh/peers/peers.go
+++ b/internal/mesh/peers/peers.go
@@ -147,6 +147,7 @@
 		o(p)
 	}
 	p.publish()
+	p.takeSnapshot()
 	return p
 }
 
--- a/internal/mesh/peers/peers_test.go
+++ b/internal/mesh/peers/peers_test.go
@@ -356,3 +356,19 @@
 		So(net.liveNodes("d1-n22"), ShouldContainSubstring, "d0-n7")
 	})
 }
+
+// TestViewBeforeFirstMessage guards against a node that crashes at its start: two messages that
+// arrive at once both ask for the first view, and one gets none while the other takes it.
+func TestViewBeforeFirstMessage(t *testing.T) {
+	Convey("There is a view from the start, also while a newer one is taken", t, func() {
+		p := New(Node{Name: "a", Domain: "d"}, func(string, []byte) error { return nil })
+		So(p.view.Load(), ShouldNotBeNil)
+		p.publish()
+		p.mu.Lock()
+		p.stale.Store(false)
+		v := p.View()
+		p.mu.Unlock()
+		So(v, ShouldNotBeNil)
+		So(v.Self().Name, ShouldEqual, "a")
+	})
+}
