node/agent: a node that stops reads requests for 3 s at most

Cause: a leaving node stopped reading once no request was pending. Under callers that never pause this never comes; it stopped at the end of its grace period and cut what it had just read. Ruled out: kills and pauses near it (the check leaves them out); the server (it had answered). Change: it stops reading when nothing is pending or 3 s after SIGTERM, 0.6 s after the other nodes know, and uses the rest for what it has read.

--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -53,6 +53,9 @@
 	// peerDrainTime is how long a leaving node waits for the other nodes to stop
 	// sending calls to it.
 	peerDrainTime = 300 * time.Millisecond
+	// maxReadTime is how long a leaving node reads requests at most. Callers that never pause
+	// would otherwise leave no time to finish what was read.
+	maxReadTime = 3 * time.Second
 	// bodiesDivisor and bodyDivisor give the parts of the memory limit that all bodies may
 	// use, and a single one, while they are read from targets and other nodes.
 	bodiesDivisor = 4
@@ -525,12 +528,13 @@
 
 // Leave shuts the node down gracefully. It first reports that the node is not ready
 // and gives the callers on the VM callerDrainTime to stop using it, then tells the other
-// nodes to send no more calls, and then finishes pending requests and stops reading new
-// ones. It returns when none is pending, or when only closeReserve of the grace period is
-// left.
+// nodes to send no more calls, stops reading new requests once none is pending or maxReadTime
+// has passed, and finishes those that were read. It returns when none is pending, or when
+// only closeReserve of the grace period is left.
 func (a *Agent) Leave() {
 	start := time.Now()
-	deadline := start.Add(a.live.Load().Grace - closeReserve)
+	leaveTime := a.live.Load().Grace - closeReserve
+	deadline := start.Add(leaveTime)
 	a.leaving.Store(true)
 	a.callers.Drain()
 	time.Sleep(callerDrainTime)
@@ -538,7 +542,7 @@
 	a.peers.Update(timer.Now(), true, func(n *peers.Node) { n.Leaving = true })
 	time.Sleep(peerDrainTime)
 	idle := func() bool { return a.callers.Pending()+a.calls.Pending() == 0 }
-	waitFor(deadline, idle)
+	waitFor(start.Add(min(maxReadTime, leaveTime)), idle)
 	a.callers.Quiesce()
 	waitFor(deadline, idle)
 	a.calls.Quiesce()
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -153,6 +153,9 @@
 	close(done)
 	callers.Wait()
 	s.store.SetFault(store.NoFault)
+	for _, v := range s.vms {
+		s.waitFor("all nodes serve again", func() bool { return v.requestStatus(http.MethodGet, "/safe/", "key-1") == http.StatusOK })
+	}
 }
 
 // note adds a line to the log of faults.
