--- a/internal/quota/lease/lease_test.go
+++ b/internal/quota/lease/lease_test.go
@@ -190,6 +190,38 @@
 	})
 }
 
+// TestHotWorkspaceWhileItsOwnerIsIsolated guards against overspending when a workspace asks for
+// far more than its limit and, a second later, its owner and other nodes are each cut off from
+// all: until the cut is noticed, owners, brokers and isolated nodes each go on with a part.
+func TestHotWorkspaceWhileItsOwnerIsIsolated(t *testing.T) {
+	excess := 0.0
+	inBubble(t, func() {
+		f := newFleet(6, 4, map[string]Limit{
+			"w": {
+				Rate:  85,
+				Burst: 85,
+			},
+		})
+		load := map[string]float64{"w": 85.0 / 2}
+		f.offer(2*time.Second, load, everywhere)
+		load["w"] *= 16
+		f.offer(time.Second, load, everywhere)
+		owner := f.byName[f.members[0].Owners("w").Owner]
+		isolated := 0
+		for i, m := range f.members {
+			if m == owner || i%4 == 1 || m.name == "d0-n0" {
+				isolated++
+				m.change(true, i+1)
+			}
+		}
+		f.offer(7*time.Second, load, everywhere)
+		excess = f.worstExcess()
+	})
+	Convey("All nodes together stay within the limits", t, func() {
+		So(excess, ShouldBeLessThanOrEqualTo, 0)
+	})
+}
+
 // TestAllTrafficAtOneNode guards against refusals within the limit when all callers of a
 // workspace are at one node, or come there in quick succession as they do when they retry.
 func TestAllTrafficAtOneNode(t *testing.T) {
