quota/lease, mesh/peers: an isolated node spends its own part of the limits only

Cause, from sums by kind of grant: a node that is cut off from all notices its own domain's loss after 1.2 s, but counted the other domains as alive for 3.2 s, so that the isolated owner went on with 0.42 to 0.54 of the whole limit for its own callers, beside the new owner with 0.67. Besides, the brokers spent 57 in the second before that, a quarter of their burst among it. Change: a node that has received nothing for 1 s (it says that it is not ready then) counts itself as alone in its shares; a broker whose owner does not respond starts with 0.1 of its domain's burst, not 0.25.

--- a/internal/mesh/peers/owners.go
+++ b/internal/mesh/peers/owners.go
@@ -85,16 +85,21 @@
 
 // Shares returns the fractions of each limit that the live nodes stand for. They are 0
 // while this node has only just started and knows no other, since it can't tell then
-// whether it is alone.
+// whether it is alone. An isolated node stands for itself only, before the other nodes'
+// timeouts have passed.
 func (p *Peers) Shares() lease.Shares {
 	v := p.View()
 	if v.known <= 1 && !p.learned.Load() {
 		return lease.Shares{}
 	}
 	known := float64(max(v.known, len(v.nodes)))
+	alive, localAlive := len(v.nodes), v.localAlive
+	if p.Isolated() {
+		alive, localAlive = 1, 1
+	}
 	return lease.Shares{
-		Fleet:  float64(len(v.nodes)) / known,
-		Domain: float64(v.localAlive) / float64(max(v.domain, v.localAlive)) / float64(v.domains),
+		Fleet:  float64(alive) / known,
+		Domain: float64(localAlive) / float64(max(v.domain, v.localAlive)) / float64(v.domains),
 		Node:   1 / known,
 	}
 }
--- a/internal/mesh/peers/peers_test.go
+++ b/internal/mesh/peers/peers_test.go
@@ -209,9 +209,12 @@
 		}
 		So(net.nodes["d0-n1"].Isolated(), ShouldBeTrue)
 		So(net.nodes["d0-n1"].AttachedShare(), ShouldAlmostEqual, 1.0/3)
+		So(net.nodes["d0-n1"].Shares().Fleet, ShouldAlmostEqual, 1.0/9)
+		So(net.nodes["d0-n1"].Shares().Domain, ShouldAlmostEqual, 1.0/9)
 		net.setDisconnected(false, "d0-n1")
 		net.run(2 * time.Second)
 		So(net.nodes["d0-n1"].Isolated(), ShouldBeFalse)
+		So(net.nodes["d0-n1"].Shares().Fleet, ShouldAlmostEqual, 1)
 		So(net.liveNodes("d2-n1"), ShouldEqual, allNodes)
 	})
 }
--- a/internal/quota/lease/fleet_test.go
+++ b/internal/quota/lease/fleet_test.go
@@ -68,6 +68,8 @@
 	localBackLag  = 100 * time.Millisecond
 	remoteBackLag = 1 * time.Second
 	cutLag        = 3200 * time.Millisecond
+	// isolatedLag is the time until a node that receives nothing counts itself as alone.
+	isolatedLag = 1 * time.Second
 )
 
 // inBubble runs f with virtual time and waits until the requests that it began have ended.
@@ -179,6 +181,8 @@
 	switch {
 	case m.fleet.instant:
 		return 0
+	case !connected && m.fleet.alone(m):
+		return isolatedLag
 	case connected && local:
 		return localBackLag
 	case connected:
@@ -191,6 +195,16 @@
 	return remoteLostLag
 }
 
+// alone reports whether a node is cut off from all others.
+func (f *fleet) alone(m *member) bool {
+	for _, o := range f.members {
+		if o != m && reaches(m, o) {
+			return false
+		}
+	}
+	return true
+}
+
 // majorityWith reports whether a node reaches most nodes of its domain, which then do not
 // tell others that it is lost.
 func (f *fleet) majorityWith(o *member) bool {
--- a/internal/quota/lease/lease.go
+++ b/internal/quota/lease/lease.go
@@ -59,8 +59,9 @@
 	// by a single node.
 	domainShare = 0.05
 	// fallbackLevel is the fraction of a domain's part of the burst that a broker may
-	// spend while the owner does not respond. It may always collect one token.
-	fallbackLevel = 0.25
+	// spend while the owner does not respond, beside an owner that is cut off and has not
+	// noticed it yet. It may always collect one token.
+	fallbackLevel = 0.1
 	// pauseLimit is the time between two ticks after which the process was paused. Other
 	// nodes may have granted tokens in its place meanwhile.
 	pauseLimit = 1 * time.Second
