node/watch: log and show the epoch of the store, which a restore from a copy increases

The store's header Store-Era was read nowhere: nothing told whether a node knew of a restore and from which offset it went on. The adapter decodes it into a position (epoch, offset) and the epoch of a write; a missing or malformed one is EpochUnknown. One line when the epoch becomes known, changes, goes back or is no longer named; gauge fuchsiapier_store_epoch. No decision changes.

--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -208,6 +208,7 @@
 		labels := map[string]string{"kind": s.Kind, "reach": s.Reach}
 		a.stats.Counter("fuchsiapier_mesh_sent_bytes_total", "Bytes sent to other nodes in datagrams, by kind and reach.", labels, func() float64 { return float64(s.Read()) })
 	}
+	a.stats.Gauge("fuchsiapier_store_epoch", "Epoch of the store, which increases when it is restored from a copy, -1 if it names none.", func() float64 { return float64(a.watcher.Epoch()) })
 	register("rules_version", "Version of the configuration in force, 0 before the first.", a.rulesVersion)
 }
 
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -17,6 +17,23 @@
 	"fuchsiapier/internal/conf/rules"
 )
 
+// EpochUnknown is the epoch of a store whose responses name none.
+const EpochUnknown int64 = -1
+
+// Position is a place in a topic of the store. The epoch increases each time the store is
+// restored from a copy, which may lack the newest records: an offset is valid only in the
+// epoch in which the store returned it.
+type Position struct {
+	Epoch  int64
+	Offset int64
+}
+
+// WithOffset returns the position of another offset in the same epoch.
+func (p Position) WithOffset(offset int64) Position {
+	p.Offset = offset
+	return p
+}
+
 // Record is a keyed record of a topic; a nil Value is a tombstone, which deletes the
 // key.
 type Record struct {
@@ -39,15 +56,17 @@
 // Store is the platform's store: append-only topics that retain at least the newest
 // record of each key (log compaction).
 type Store interface {
-	// Newest returns the newest record of each key and the offset at which to
+	// Newest returns the newest record of each key and the position at which to
 	// continue with Read.
-	Newest(topic string) ([]Record, int64, error)
+	Newest(topic string) ([]Record, Position, error)
 	// Read is a long poll: it waits at most for wait until the topic has records at or
-	// after the offset from, and returns them with the offset of the next call. The
-	// error is ErrTrimmed if from is no longer retained.
-	Read(topic string, from int64, wait time.Duration) ([]Record, int64, error)
-	// Put writes a record; an empty value deletes the key.
-	Put(topic, key string, value []byte) error
+	// after the offset of from, and returns them with the position of the next call, whose
+	// epoch is that of the response. The error is ErrTrimmed if the store has no records at
+	// the offset, since they were deleted or it was restored from a copy without them.
+	Read(topic string, from Position, wait time.Duration) ([]Record, Position, error)
+	// Put writes a record and returns the epoch in which the store has taken it; an empty
+	// value deletes the key.
+	Put(topic, key string, value []byte) (epoch int64, err error)
 }
 
 // Fleet gives the watcher access to the other nodes.
@@ -120,8 +139,11 @@
 	// pending is the record to be stored; queued is signalled when it is set.
 	pending Record
 	queued  chan struct{}
-	// offset is where the next poll starts, -1 if the newest records must be read first.
-	offset int64
+	// position is where the next poll starts. Its offset is -1 if the newest records must be
+	// read first.
+	position Position
+	// epoch is the newest known epoch of the store, EpochUnknown before the first.
+	epoch int64
 }
 
 // Option configures a Watcher.
@@ -155,8 +177,11 @@
 		parse:   parse,
 		log:     zerolog.Nop(),
 		onApply: func(*rules.Rules) {},
-		offset:  -1,
 		queued:  make(chan struct{}, 1),
+		position: Position{
+			Offset: -1,
+		},
+		epoch: EpochUnknown,
 	}
 	for _, o := range options {
 		o(w)
@@ -191,7 +216,7 @@
 			w.mu.Lock()
 			r := w.pending
 			w.mu.Unlock()
-			return w.store.Put(w.topics.Nodes, r.Key, r.Value)
+			return w.put(r)
 		})
 	}
 }
@@ -264,7 +289,11 @@
 // register registers the node. A node that was not among the listed ones, since it is new,
 // lists the nodes again afterwards: of two new nodes at least one then learns of the other.
 func (w *Watcher) register(ctx context.Context, known chan bool) {
-	w.retry(ctx, "register", func() error { return w.store.Put(w.topics.Nodes, w.self, w.record) })
+	own := Record{
+		Key:   w.self,
+		Value: w.record,
+	}
+	w.retry(ctx, "register", func() error { return w.put(own) })
 	select {
 	case wasListed := <-known:
 		if !wasListed {
@@ -326,10 +355,12 @@
 // listNodes passes the records of the nodes on, and sends to known whether this node was
 // among them.
 func (w *Watcher) listNodes(known chan<- bool) error {
-	records, _, err := w.store.Newest(w.topics.Nodes)
+	epoch := w.Epoch()
+	records, position, err := w.store.Newest(w.topics.Nodes)
 	if err != nil {
 		return err
 	}
+	w.observeEpoch(position.Epoch, epoch, "list nodes")
 	w.fleet.Learn(records)
 	known <- slices.ContainsFunc(records, func(r Record) bool { return r.Key == w.self && r.Value != nil })
 	return nil
@@ -339,24 +370,26 @@
 func (w *Watcher) needsNewest() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.offset < 0
+	return w.position.Offset < 0
 }
 
 func (w *Watcher) resetOffset() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.offset = -1
+	w.position.Offset = -1
 }
 
 func (w *Watcher) readNewest() error {
+	known := w.Epoch()
 	records, end, err := w.store.Newest(w.topics.Operator)
 	if err != nil {
 		return err
 	}
+	w.observeEpoch(end.Epoch, known, "read configuration")
 	w.applyNewest(records)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.offset = end
+	w.position = end
 	return nil
 }
 
@@ -376,14 +409,15 @@
 // among them.
 func (w *Watcher) poll() error {
 	w.mu.Lock()
-	from := w.offset
+	from, known := w.position, w.epoch
 	w.mu.Unlock()
 	records, next, err := w.store.Read(w.topics.Operator, from, pollWait)
 	if err != nil {
 		return err
 	}
+	w.observeEpoch(next.Epoch, known, "poll")
 	w.mu.Lock()
-	w.offset = next
+	w.position = next
 	w.mu.Unlock()
 	w.applyNewest(records)
 	if len(records) > 0 {
