--- a/internal/node/watch/watch_test.go
+++ b/internal/node/watch/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -27,8 +28,9 @@
 	putBlocked chan struct{}
 	// appended is closed and replaced when a record is written.
 	appended chan struct{}
-	// reads counts the calls of Read.
-	reads int
+	// reads counts the calls of Read, reading those that wait.
+	reads   int
+	reading int
 }
 
 func newFakeStore() *fakeStore {
@@ -54,6 +56,8 @@
 
 func (s *fakeStore) Read(topic string, position Position, wait time.Duration) ([]Record, Position, error) {
 	from := position.Offset
+	s.withLock(func() { s.reading++ })
+	defer s.withLock(func() { s.reading-- })
 	deadline := time.After(min(wait, 50*time.Millisecond))
 	for {
 		s.mu.Lock()
@@ -103,6 +107,33 @@
 	_, _ = s.Put(topic, key, value)
 }
 
+// restore replaces the records by those of a copy and gives the store a new epoch.
+func (s *fakeStore) restore(topic string, records ...Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = map[string][]Record{topic: records}
+	s.epoch++
+}
+
+// idle reports whether no read is waiting.
+func (s *fakeStore) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reading == 0
+}
+
+// value returns the newest value of a key, nil if it has none.
+func (s *fakeStore) value(topic, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range slices.Backward(s.records[topic]) {
+		if r.Key == key {
+			return r.Value
+		}
+	}
+	return nil
+}
+
 // withLock calls f with the store locked, to change its state.
 func (s *fakeStore) withLock(f func()) {
 	s.mu.Lock()
@@ -126,6 +157,12 @@
 	return f.readers
 }
 
+func (f *fakeFleet) setReaders(names ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readers = names
+}
+
 func (f *fakeFleet) SetStoreReachable(reachable bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/lab/store/store.go
+++ b/lab/store/store.go
@@ -8,7 +8,9 @@
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -29,6 +31,8 @@
 	NoResponse
 	// ResponseLost executes requests and closes the connection without a response.
 	ResponseLost
+	// ExecutedLate sends no response, and executes appends when ExecuteLate is called.
+	ExecutedLate
 )
 
 // Store is a running stand-in for the store. It is safe for concurrent use.
@@ -39,6 +43,10 @@
 	topics map[string]*topic
 	fault  Fault
 	calls  int
+	// late are the appends that are executed late.
+	late []appendCall
+	// epoch counts the starts of the store; it increases when the store is restored.
+	epoch int64
 	// appended is closed and replaced at each append, which wakes the long polls.
 	appended chan struct{}
 }
@@ -49,6 +57,29 @@
 	records [][]byte
 	// first is the offset of records[0].
 	first int64
+	// producers holds the last appends of each producer.
+	producers map[string]producer
+}
+
+// producer is the state of a producer of a partition.
+type producer struct {
+	epoch int64
+	seq   int64
+	// ends holds the end offsets after its last appends, by sequence number.
+	ends map[int64]int64
+}
+
+// rememberedAppends is how many of the last appends of a producer are recognized when they
+// are repeated.
+const rememberedAppends = 5
+
+// appendCall is a call of log-append. Without a producer nothing orders it.
+type appendCall struct {
+	topic    string
+	record   []byte
+	producer string
+	epoch    int64
+	seq      int64
 }
 
 // New starts a store on a free loopback port and returns it with the function
@@ -61,6 +92,7 @@
 	s := &Store{
 		addr:     l.Addr().String(),
 		topics:   map[string]*topic{},
+		epoch:    1,
 		appended: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -113,6 +145,51 @@
 	}
 }
 
+// Copy is the content of a store at some time.
+type Copy struct {
+	topics map[string]topic
+}
+
+// Copy returns a copy of the content, for Restore.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Copy{
+		topics: map[string]topic{},
+	}
+	for name, t := range s.topics {
+		copied := *t
+		copied.producers = maps.Clone(t.producers)
+		c.topics[name] = copied
+	}
+	return c
+}
+
+// Restore replaces the content by a copy, as after the loss of a disk: what was written since
+// is gone, and its offsets are given out again. Reads that wait get no response.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics = map[string]*topic{}
+	for name, t := range c.topics {
+		s.topics[name] = &topic{
+			// The records of the copy stay as they are when others are appended here.
+			records:   t.records[:len(t.records):len(t.records)],
+			first:     t.first,
+			producers: maps.Clone(t.producers),
+		}
+	}
+	s.epoch++
+	s.wake()
+}
+
+// Records returns the newest value of each key in the named topic.
+func (s *Store) Records(name string) map[string][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.newest(name))
+}
+
 // Newest returns the newest value of a key in the named topic, or nil if the key
 // has none.
 func (s *Store) Newest(name, key string) []byte {
@@ -152,11 +229,74 @@
 func (s *Store) append(name string, record []byte) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.appendLocked(name, record)
+}
+
+// appendLocked is append with s.mu held.
+func (s *Store) appendLocked(name string, record []byte) int64 {
 	t := s.topic(name)
 	t.records = append(t.records, record)
+	s.wake()
+	return t.first + int64(len(t.records))
+}
+
+// execute executes an append and returns the offset after it. If the producer may not append
+// it, why says so: "fenced" or "seq".
+func (s *Store) execute(c appendCall) (end int64, why string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.producer == "" {
+		return s.appendLocked(c.topic, c.record), ""
+	}
+	t := s.topic(c.topic)
+	last, known := t.producers[c.producer]
+	switch repeated, ok := last.ends[c.seq]; {
+	case known && c.epoch < last.epoch:
+		return 0, "fenced"
+	case known && c.epoch == last.epoch && ok && c.seq > last.seq-rememberedAppends:
+		return repeated, ""
+	case known && c.epoch == last.epoch && c.seq != last.seq+1:
+		return 0, "seq"
+	}
+	end = s.appendLocked(c.topic, c.record)
+	ends := map[int64]int64{}
+	if c.epoch == last.epoch {
+		maps.Copy(ends, last.ends)
+	}
+	ends[c.seq] = end
+	if t.producers == nil {
+		t.producers = map[string]producer{}
+	}
+	t.producers[c.producer] = producer{
+		epoch: c.epoch,
+		seq:   c.seq,
+		ends:  ends,
+	}
+	return end, ""
+}
+
+// Late returns the number of appends that wait for ExecuteLate.
+func (s *Store) Late() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.late)
+}
+
+// ExecuteLate executes the appends that arrived under the fault ExecutedLate.
+func (s *Store) ExecuteLate() {
+	s.mu.Lock()
+	late := s.late
+	s.late = nil
+	s.mu.Unlock()
+	for _, c := range late {
+		s.execute(c)
+	}
+}
+
+// wake makes the long polls look again. It must be called with s.mu held.
+func (s *Store) wake() {
 	close(s.appended)
 	s.appended = make(chan struct{})
-	return t.first + int64(len(t.records))
 }
 
 // withFault wraps a handler with the fault in force when a request arrives.
@@ -165,12 +305,20 @@
 		s.mu.Lock()
 		s.calls++
 		fault := s.fault
+		w.Header().Set("Store-Era", strconv.FormatInt(s.epoch, 10))
 		s.mu.Unlock()
 		switch fault {
 		case Unavailable:
 			w.WriteHeader(http.StatusServiceUnavailable)
 		case NoResponse:
 			<-r.Context().Done()
+		case ExecutedLate:
+			if c, err := decodeAppend(r); err == nil {
+				s.mu.Lock()
+				s.late = append(s.late, c)
+				s.mu.Unlock()
+			}
+			<-r.Context().Done()
 		case ResponseLost:
 			h(&discardWriter{header: http.Header{}}, r)
 			// The server closes the connection without a response and logs nothing.
@@ -190,15 +338,45 @@
 func (d *discardWriter) Write(b []byte) (int, error) { return len(b), nil }
 func (d *discardWriter) WriteHeader(int)             {}
 
-// handleAppend appends the record in the request's body, which follows its
-// length as 4 bytes, big endian.
-func (s *Store) handleAppend(w http.ResponseWriter, r *http.Request) {
+// errMalformedAppend is the error of an append whose record or query can't be decoded.
+var errMalformedAppend = errors.New("malformed append")
+
+// decodeAppend decodes an append: one record in the body, after its length as 4 bytes, big
+// endian, and in the query the topic and at most a producer with its epoch and sequence number.
+func decodeAppend(r *http.Request) (appendCall, error) {
+	query := r.URL.Query()
+	c := appendCall{
+		topic:    query.Get("topic"),
+		producer: query.Get("producer"),
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil || len(body) < 4 || int(binary.BigEndian.Uint32(body)) != len(body)-4 {
-		http.Error(w, "malformed record", http.StatusBadRequest)
+		return c, errMalformedAppend
+	}
+	c.record = body[4:]
+	if c.producer == "" {
+		return c, nil
+	}
+	var epochErr, seqErr error
+	c.epoch, epochErr = strconv.ParseInt(query.Get("epoch"), 10, 64)
+	c.seq, seqErr = strconv.ParseInt(query.Get("seq"), 10, 64)
+	return c, errors.Join(epochErr, seqErr)
+}
+
+// handleAppend executes an append. It responds with status 409 to one that its producer may
+// not append.
+func (s *Store) handleAppend(w http.ResponseWriter, r *http.Request) {
+	c, err := decodeAppend(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	end, why := s.execute(c)
+	if why != "" {
+		w.WriteHeader(http.StatusConflict)
+		writeJSON(w, map[string]any{"why": why})
 		return
 	}
-	end := s.append(r.URL.Query().Get("topic"), body[4:])
 	writeJSON(w, map[string]any{
 		"offset":     end - 1,
 		"end_offset": end,
@@ -228,7 +406,7 @@
 
 // handleRead returns the records of a topic from an offset on. Where there are
 // none it waits for the next append, for wait_ms at most (long poll). It responds
-// with status 410 and the first offset kept if the offset is before that.
+// with status 410 and the first offset kept if the offset is before that or after the end.
 func (s *Store) handleRead(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	from, fromErr := strconv.ParseInt(query.Get("from"), 10, 64)
@@ -238,8 +416,12 @@
 		return
 	}
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	epoch := s.epoch
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
+		restored := s.epoch != epoch
 		t := s.topic(query.Get("topic"))
 		first, end, appended := t.first, t.first+int64(len(t.records)), s.appended
 		var records [][]byte
@@ -247,7 +429,10 @@
 			records = t.records[from-first:]
 		}
 		s.mu.Unlock()
-		if from < first {
+		if restored {
+			panic(http.ErrAbortHandler)
+		}
+		if from < first || from > end {
 			w.WriteHeader(http.StatusGone)
 			writeJSON(w, map[string]any{"first_offset": first})
 			return
--- a/test/serve_test.go
+++ b/test/serve_test.go
@@ -32,6 +32,10 @@
 	store  *store.Store
 	vms    []*vm
 	nextID atomic.Int64
+	// number is that of the cluster in the test run.
+	number int64
+	// initial is a copy of the store of before the first node started.
+	initial store.Copy
 }
 
 // vm is a server and its node. exited is closed when the node's process has exited.
@@ -89,18 +93,10 @@
 		store: s,
 	}
 	c.configure(1, "key-1", "key-2")
-	number := clusterCount.Add(1)
-	for i := range 4 * serversPerService {
-		v := &vm{
-			cluster: c,
-			name:    fmt.Sprintf("vm-%d", i),
-			ip:      fmt.Sprintf("127.9.%d.%d", number, i+1),
-			domain:  []string{"d1", "d2"}[i/2%2],
-			service: []string{"front", "back"}[i%2],
-		}
-		c.vms = append(c.vms, v)
-		v.startServer()
-		v.startNode()
+	c.number = clusterCount.Add(1)
+	c.initial = s.Copy()
+	for range 4 * serversPerService {
+		c.addVM()
 	}
 	t.Cleanup(func() {
 		for _, v := range c.vms {
@@ -114,6 +110,23 @@
 	return c
 }
 
+// addVM starts the next VM with its server and node.
+func (c *cluster) addVM() *vm {
+	c.t.Helper()
+	i := len(c.vms)
+	v := &vm{
+		cluster: c,
+		name:    fmt.Sprintf("vm-%d", i),
+		ip:      fmt.Sprintf("127.9.%d.%d", c.number, i+1),
+		domain:  []string{"d1", "d2"}[i/2%2],
+		service: []string{"front", "back"}[i%2],
+	}
+	c.vms = append(c.vms, v)
+	v.startServer()
+	v.startNode()
+	return v
+}
+
 func (c *cluster) waitFor(what string, condition func() bool) {
 	c.t.Helper()
 	for deadline := time.Now().Add(waitTimeout); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
@@ -572,24 +585,51 @@
 	Convey("A server withdrawn before the restart of its node stays out after it", t, func() {
 		c := newCluster(t)
 		v := c.vms[0]
-		req, err := http.NewRequest(http.MethodDelete, "http://"+v.address(portControl)+"/v1/instances/i-"+v.name, nil)
-		So(err, ShouldBeNil)
-		resp, err := http.DefaultClient.Do(req)
-		So(err, ShouldBeNil)
-		_ = resp.Body.Close()
-		So(resp.StatusCode, ShouldEqual, http.StatusOK)
-		c.waitFor("the withdrawal is stored", func() bool {
-			return c.store.Newest(platform.StoreTopics.Nodes, "withdrawn/"+v.name) != nil
-		})
-		v.kill()
-		v.startNode()
-		c.waitFor("the node is back", v.ready)
-		c.waitFor("the whole path works", func() bool { return v.requestStatus(http.MethodGet, "/safe/", "key-1") == http.StatusOK })
-		before := len(v.server.Runs())
-		for range 20 {
-			So(v.requestStatus(http.MethodGet, "/safe/", "key-1"), ShouldEqual, http.StatusOK)
-			time.Sleep(20 * time.Millisecond)
-		}
-		So(len(v.server.Runs()), ShouldEqual, before)
+		v.withdrawServer()
+		So(v.staysOutAfterRestart(), ShouldBeTrue)
+	})
+}
+
+// withdrawServer withdraws the VM's server, which goes on reporting that it is ready, and waits
+// until the withdrawal is stored.
+func (v *vm) withdrawServer() {
+	v.cluster.t.Helper()
+	req, err := http.NewRequest(http.MethodDelete, "http://"+v.address(portControl)+"/v1/instances/i-"+v.name, nil)
+	if err != nil {
+		v.cluster.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		v.cluster.t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		v.cluster.t.Fatalf("withdrawal was answered %d", resp.StatusCode)
+	}
+	v.waitForStoredWithdrawal()
+}
+
+func (v *vm) waitForStoredWithdrawal() {
+	v.cluster.t.Helper()
+	v.cluster.waitFor("the withdrawal is stored", func() bool {
+		return v.cluster.store.Newest(platform.StoreTopics.Nodes, "withdrawn/"+v.name) != nil
 	})
 }
+
+// staysOutAfterRestart restarts the VM's node and reports whether its server gets none of the
+// requests that follow, and all of them are served.
+func (v *vm) staysOutAfterRestart() bool {
+	v.cluster.t.Helper()
+	v.kill()
+	v.startNode()
+	v.cluster.waitFor("the node is back", v.ready)
+	v.cluster.waitFor("the whole path works", func() bool { return v.requestStatus(http.MethodGet, "/safe/", "key-1") == http.StatusOK })
+	before := len(v.server.Runs())
+	for range 20 {
+		if v.requestStatus(http.MethodGet, "/safe/", "key-1") != http.StatusOK {
+			return false
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return len(v.server.Runs()) == before
+}
