node/watch: an offset of the store is used only in the epoch in which it was given

Seen by callers: none yet; a confirmed change would be in force nowhere for as long as no further one is made (withdrawn keys work, added routes answer 404). Cause: the reader kept an offset only. A store that is restored from a copy gives offsets out again; where its log had reached the reader's offset by the next poll, the poll succeeded and what lies between the copy's end and the offset was never read. 410 told of it only where the log was shorter. Class: a cursor into a log that was truncated, without the log's epoch.

Ruled out: reading the newest records after each outage (a reader that was not polling while the store was away, or hears nothing of an outage, has the same cursor); comparing the end offset (equal by chance is the very case).

Change: positions carry the epoch; a poll whose response has another one reads the newest records instead, by every node that reads from then on. The first poll after a pause or an error doesn't wait for records, since at the log's end the response would come after 4 s. An epoch that goes back is followed and logged; one that is not named is ignored and logged once.

--- a/internal/node/watch/epoch.go
+++ b/internal/node/watch/epoch.go
@@ -12,25 +12,24 @@
 // epoch was known by then: the store's count itself has gone back.
 func (w *Watcher) observeEpoch(epoch, known int64, operation string) {
 	w.mu.Lock()
-	before, position := w.epoch, w.position
-	if epoch == before || epoch < before && known < before {
-		w.mu.Unlock()
-		return
+	before, position, wasUnnamed := w.epoch, w.position, w.unnamed
+	w.unnamed = epoch == EpochUnknown && before != EpochUnknown
+	changed := epoch != EpochUnknown && epoch != before && (epoch > before || known >= before)
+	if changed {
+		w.epoch = epoch
 	}
-	w.epoch = epoch
+	unnamed := w.unnamed && !wasUnnamed
 	w.mu.Unlock()
-	if before == EpochUnknown {
-		w.log.Info().Int64("epoch", epoch).Str("call", operation).Msg("store epoch known")
-		return
-	}
-	line := w.log.Warn().Int64("epoch", epoch).Int64("before", before).Str("call", operation).Int64("offset", position.Offset)
 	switch {
-	case epoch == EpochUnknown:
-		line.Msg("store names no epoch any more; a restore can't be noticed")
-	case epoch < before:
-		line.Msg("store epoch went back")
-	default:
-		line.Msg("store was restored from a copy")
+	case unnamed:
+		w.log.Warn().Int64("epoch", before).Str("call", operation).Msg("store names no epoch; a restore can't be noticed")
+	case changed && before == EpochUnknown:
+		w.log.Info().Int64("epoch", epoch).Str("call", operation).Msg("store epoch known")
+	case changed && epoch < before:
+		w.log.Warn().Int64("epoch", epoch).Int64("before", before).Str("call", operation).Msg("store epoch went back")
+	case changed:
+		w.log.Warn().Int64("epoch", epoch).Int64("before", before).Str("call", operation).
+			Int64("offset", position.Offset).Msg("store was restored from a copy")
 	}
 }
 
--- a/internal/node/watch/restore_test.go
+++ b/internal/node/watch/restore_test.go
@@ -37,6 +37,7 @@
 			s.restore("op", config3, config7)
 			end()
 			So(waitForVersion(w, 7), ShouldBeTrue)
+			s.withLock(func() { So(s.firstWait[1], ShouldEqual, 0) })
 		})
 		Convey("it reads a change below its offset in a restored log that goes on", func() {
 			s.restore("op", config7, other, other, other)
@@ -97,3 +98,46 @@
 		So(eventually(func() bool { return string(s.value("nodes", "withdrawn/n1")) == "new" }), ShouldBeTrue)
 	})
 }
+
+// TestImplausibleEpochs guards against changes that are missed, and against calls without end, at a
+// store whose epoch goes back or is not named in all responses.
+func TestImplausibleEpochs(t *testing.T) {
+	Convey("Given a reader of a store of epoch 5", t, func() {
+		s, f := newFakeStore(), &fakeFleet{readers: []string{"n1"}}
+		s.epoch = 5
+		s.write("op", "config", config("3"))
+		w := start(t, s, f)
+		So(waitForVersion(w, 3), ShouldBeTrue)
+		var lists int
+		s.withLock(func() { lists = s.lists })
+		Convey("changes are applied after the epoch went back, and restores are noticed from there on", func() {
+			s.withLock(func() { s.epoch = 2 })
+			s.write("op", "config", config("4"))
+			So(waitForVersion(w, 4), ShouldBeTrue)
+			So(eventually(func() bool { return w.Epoch() == 2 }), ShouldBeTrue)
+			s.restore("op", Record{
+				Key:   "config",
+				Value: config("7"),
+			})
+			So(waitForVersion(w, 7), ShouldBeTrue)
+			So(w.Epoch(), ShouldEqual, 3)
+		})
+		Convey("changes are applied while no epoch is named, and the known one is kept", func() {
+			s.withLock(func() { s.epoch = EpochUnknown })
+			s.write("op", "config", config("4"))
+			So(waitForVersion(w, 4), ShouldBeTrue)
+			s.write("op", "config", config("5"))
+			So(waitForVersion(w, 5), ShouldBeTrue)
+			So(w.Epoch(), ShouldEqual, 5)
+		})
+		s.withLock(func() { So(s.lists-lists, ShouldBeLessThan, 10) })
+	})
+	Convey("A delayed response of an earlier epoch changes nothing", t, func() {
+		s, f := newFakeStore(), &fakeFleet{readers: []string{"n1"}}
+		s.epoch = 5
+		w := start(t, s, f)
+		So(eventually(func() bool { return w.Epoch() == 5 }), ShouldBeTrue)
+		w.observeEpoch(4, 4, "poll")
+		So(w.Epoch(), ShouldEqual, 5)
+	})
+}
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -144,6 +144,10 @@
 	position Position
 	// epoch is the newest known epoch of the store, EpochUnknown before the first.
 	epoch int64
+	// unnamed says that the last response named no epoch although an earlier one did.
+	unnamed bool
+	// upToDate says that the last call has confirmed position. It is used by run alone.
+	upToDate bool
 }
 
 // Option configures a Watcher.
@@ -273,16 +277,18 @@
 	known := make(chan bool, 1)
 	go w.register(ctx, known)
 	w.retry(ctx, "list nodes", func() error { return w.listNodes(known) })
+	w.retry(ctx, "read configuration", w.readNewest)
 	for ctx.Err() == nil {
-		if w.needsNewest() {
-			w.retry(ctx, "read configuration", w.readNewest)
-			continue
-		}
-		if !w.isReader() {
+		switch {
+		case !w.isReader():
+			// Another node reads meanwhile.
+			w.upToDate = false
 			sleep(ctx, readerCheckPeriod)
-			continue
+		case w.needsNewest():
+			w.retry(ctx, "read configuration", w.readNewest)
+		default:
+			w.retry(ctx, "poll", w.poll)
 		}
-		w.retry(ctx, "poll", w.poll)
 	}
 }
 
@@ -315,7 +321,7 @@
 			return
 		}
 		if errors.Is(err, ErrTrimmed) {
-			w.resetOffset()
+			w.resetPosition()
 			return
 		}
 		w.setReachable(false, operation, err)
@@ -370,10 +376,11 @@
 func (w *Watcher) needsNewest() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.position.Offset < 0
+	restored := w.position.Epoch != EpochUnknown && w.position.Epoch < w.epoch
+	return w.position.Offset < 0 || restored
 }
 
-func (w *Watcher) resetOffset() {
+func (w *Watcher) resetPosition() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.position.Offset = -1
@@ -386,6 +393,7 @@
 		return err
 	}
 	w.observeEpoch(end.Epoch, known, "read configuration")
+	w.upToDate = true
 	w.applyNewest(records)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -406,16 +414,26 @@
 }
 
 // poll waits for new records of the operator and applies the newest configuration
-// among them.
+// among them. The first poll after a pause does not wait, since a store that was restored
+// meanwhile shows it only in a response.
 func (w *Watcher) poll() error {
 	w.mu.Lock()
 	from, known := w.position, w.epoch
 	w.mu.Unlock()
-	records, next, err := w.store.Read(w.topics.Operator, from, pollWait)
+	wait := pollWait
+	if !w.upToDate {
+		wait = 0
+	}
+	w.upToDate = false
+	records, next, err := w.store.Read(w.topics.Operator, from, wait)
 	if err != nil {
 		return err
 	}
 	w.observeEpoch(next.Epoch, known, "poll")
+	if next.Epoch != from.Epoch {
+		return ErrTrimmed
+	}
+	w.upToDate = true
 	w.mu.Lock()
 	w.position = next
 	w.mu.Unlock()
--- a/internal/node/watch/watch_test.go
+++ b/internal/node/watch/watch_test.go
@@ -31,18 +31,24 @@
 	// reads counts the calls of Read, reading those that wait.
 	reads   int
 	reading int
+	// lists counts the calls of Newest.
+	lists int
+	// firstWait is how long the first successful read was to wait, by epoch.
+	firstWait map[int64]time.Duration
 }
 
 func newFakeStore() *fakeStore {
 	return &fakeStore{
-		records:  map[string][]Record{},
-		appended: make(chan struct{}),
+		records:   map[string][]Record{},
+		firstWait: map[int64]time.Duration{},
+		appended:  make(chan struct{}),
 	}
 }
 
 func (s *fakeStore) Newest(topic string) ([]Record, Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.lists++
 	return s.records[topic], s.position(s.first + int64(len(s.records[topic]))), s.fail
 }
 
@@ -64,6 +70,9 @@
 		s.reads++
 		records, first, appended, err := s.records[topic], s.first, s.appended, s.fail
 		end := s.position(first + int64(len(records)))
+		if _, ok := s.firstWait[s.epoch]; !ok && err == nil {
+			s.firstWait[s.epoch] = wait
+		}
 		s.mu.Unlock()
 		switch {
 		case err != nil:
