node/watch: a node writes its records again when the store was restored from a copy

Seen by callers: a node that starts after a restore finds none of the others and serves its own target only; a target that has left gets requests again after a restart of its node. Cause: the registration and the withdrawals were written once; those of the lost seconds were gone for good. Class: state that is written once and owned by nobody afterwards.

Change: each record is kept with the epoch in which the store has acknowledged it, and is written again in any other one. Nodes that don't read the store hear of the epoch in heartbeats, and believe it when the store's response to their write confirms it. Writes are spread over 4 ms a node, 0.5 s at least; the readers list the nodes again 1 s later, since nodes that have started meanwhile found few others. Withdrawals that an earlier process of the node has stored are kept as well. Records of nodes have a field more: nodes of this and of earlier builds do not understand each other's datagrams.

TestManyNodesAfterRestore: 200 nodes, at most 50 writes in 100 ms.

--- a/internal/mesh/peers/node.go
+++ b/internal/mesh/peers/node.go
@@ -70,6 +70,9 @@
 	Rules int64
 	// Store says that the node recently reached the platform's store.
 	Store bool
+	// StoreEpoch is the epoch of the platform's store that the node has observed. It
+	// increases when the store is restored from a copy.
+	StoreEpoch int64
 	// Keeper names the keeper of the failure domain as the node sees it, from which it
 	// gets the tokens of workspaces.
 	Keeper string
--- a/internal/mesh/peers/peers.go
+++ b/internal/mesh/peers/peers.go
@@ -42,6 +42,7 @@
 	mergeCrashEntries func([]crash.Entry)
 	crashEntries      func() []crash.Entry
 	onNewerConfig     func(from Node)
+	onNewerEpoch      func(from Node)
 
 	// mu guards the fields below, except for the atomic ones and self.Name, which never
 	// changes.
@@ -126,6 +127,14 @@
 	}
 }
 
+// WithOnNewerEpoch registers a function that is called, on a goroutine of its own, with a
+// node that has observed a newer epoch of the platform's store.
+func WithOnNewerEpoch(f func(from Node)) Option {
+	return func(p *Peers) {
+		p.onNewerEpoch = f
+	}
+}
+
 // New returns the Peers of a node that knows no other nodes yet.
 func New(self Node, send Sender, options ...Option) *Peers {
 	p := &Peers{
@@ -135,6 +144,7 @@
 		mergeCrashEntries: func([]crash.Entry) {},
 		crashEntries:      func() []crash.Entry { return nil },
 		onNewerConfig:     func(Node) {},
+		onNewerEpoch:      func(Node) {},
 		self:              self,
 		others:            map[string]*peer{},
 		digested:          map[string]*digested{},
@@ -180,7 +190,8 @@
 
 // Learn adds unknown nodes from records of the platform's store. Such records are no
 // evidence that a node is alive, so the nodes are not marked alive. Learn sends each
-// node a heartbeat, from which the node learns of this one.
+// node a heartbeat, from which the node learns of this one; when it is called again, only
+// to those that are not alive.
 func (p *Peers) Learn(now timer.Instant, nodes []Node) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -189,7 +200,11 @@
 		if n.Name == p.self.Name {
 			continue
 		}
-		if _, ok := p.others[n.Name]; !ok {
+		known, ok := p.others[n.Name]
+		if ok && known.alive && p.learned.Load() {
+			continue
+		}
+		if !ok {
 			p.others[n.Name] = &peer{
 				node:      n,
 				lastHeard: now,
--- a/internal/mesh/peers/peers_test.go
+++ b/internal/mesh/peers/peers_test.go
@@ -30,6 +30,8 @@
 	// lose reports whether a datagram is lost; nil for none.
 	lose  func(from, to string, data []byte) bool
 	bytes int
+	// epochs holds the newest epoch of the store that was reported to a node, by its name.
+	epochs map[string]int64
 }
 
 // newNetwork starts the nodes d0-n0 and so on, which know each other from records of
@@ -40,6 +42,7 @@
 		nodes:        map[string]*Peers{},
 		disconnected: map[string]bool{},
 		addresses:    map[string]string{},
+		epochs:       map[string]int64{},
 	}
 	var all []Node
 	for d := range domains {
@@ -72,7 +75,11 @@
 	p := New(self, func(address string, data []byte) error {
 		net.deliver(name, address, data)
 		return nil
-	}, WithTokenGranter(func(_ context.Context, r grant.Request) grant.Reply {
+	}, WithOnNewerEpoch(func(from Node) {
+		net.mu.Lock()
+		defer net.mu.Unlock()
+		net.epochs[name] = max(net.epochs[name], from.StoreEpoch)
+	}), WithTokenGranter(func(_ context.Context, r grant.Request) grant.Reply {
 		return grant.Reply{
 			Amount: r.Want,
 		}
@@ -375,3 +382,23 @@
 		So(v.Self().Name, ShouldEqual, "a")
 	})
 }
+
+// TestStoreEpoch guards against nodes that never learn that the store was restored, since they don't
+// read it, and against a report to nodes that know.
+func TestStoreEpoch(t *testing.T) {
+	Convey("The epoch that one node has observed is reported to the nodes of its domain, but not to those that have observed it", t, func() {
+		net := newNetwork(2, 3)
+		setEpoch := func(name string, epoch int64) {
+			net.nodes[name].Update(net.now, true, func(n *Node) { n.StoreEpoch = epoch })
+		}
+		setEpoch("d0-n0", 2)
+		setEpoch("d0-n1", 3)
+		net.run(time.Second)
+		net.mu.Lock()
+		defer net.mu.Unlock()
+		So(net.epochs["d0-n0"], ShouldEqual, 3)
+		So(net.epochs["d0-n2"], ShouldEqual, 3)
+		_, told := net.epochs["d0-n1"]
+		So(told, ShouldBeFalse)
+	})
+}
--- a/internal/mesh/peers/receive.go
+++ b/internal/mesh/peers/receive.go
@@ -39,13 +39,14 @@
 }
 
 // receiveNodes merges the records of a heartbeat or digest. If some of the nodes have a
-// newer configuration in force, it reports one of them, preferably the sender.
+// newer configuration in force, or have observed a newer epoch of the store, it reports one
+// of them, preferably the sender.
 func (p *Peers) receiveNodes(now timer.Instant, m message) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastReceived = now
 	changed := false
-	configSource := Node{}
+	var configSource, epochSource Node
 	expanded, allKnown := p.expand(m.Loads)
 	received := m.Nodes
 	m.Nodes = append(slices.Clip(m.Nodes), expanded...)
@@ -61,6 +62,9 @@
 		if n.Rules > p.self.Rules && (direct || configSource.Name == "") {
 			configSource = *n
 		}
+		if n.StoreEpoch > p.self.StoreEpoch && (direct || epochSource.Name == "") {
+			epochSource = *n
+		}
 	}
 	if m.Kind == kindDigest {
 		changed = p.receiveDigest(m, received, allKnown) || changed
@@ -74,6 +78,9 @@
 	if configSource.Name != "" {
 		go p.onNewerConfig(configSource)
 	}
+	if epochSource.Name != "" {
+		go p.onNewerEpoch(epochSource)
+	}
 }
 
 // receiveDigest marks nodes lost that a digest of another domain no longer names and,
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -209,6 +209,7 @@
 		a.stats.Counter("fuchsiapier_mesh_sent_bytes_total", "Bytes sent to other nodes in datagrams, by kind and reach.", labels, func() float64 { return float64(s.Read()) })
 	}
 	a.stats.Gauge("fuchsiapier_store_epoch", "Epoch of the store, which increases when it is restored from a copy, -1 if it names none.", func() float64 { return float64(a.watcher.Epoch()) })
+	a.stats.Counter("fuchsiapier_store_records_rewritten_total", "Records of this node that were written again since the store was restored from a copy.", nil, func() float64 { return float64(a.watcher.Rewritten()) })
 	register("rules_version", "Version of the configuration in force, 0 before the first.", a.rulesVersion)
 }
 
@@ -257,6 +258,7 @@
 	a.peers = peers.New(self, send,
 		peers.WithOnChange(a.peerChanged),
 		peers.WithOnNewerConfig(a.fetchRules),
+		peers.WithOnNewerEpoch(func(from peers.Node) { a.watcher.HearEpoch(from.StoreEpoch, from.Name) }),
 		peers.WithCrashEntries(a.crashTracker.entries, a.crashTracker.merge),
 		peers.WithTokenGranter(a.grantTokens),
 	)
@@ -297,6 +299,7 @@
 	watcher, stop := watch.New(self.Name, record, a.adapter.Store, fleet{agent: a}, a.adapter.Topics, a.adapter.Parse,
 		watch.WithLog(a.log),
 		watch.WithOnApply(a.configApplied),
+		watch.WithOwnKeys(withdrawnPrefix+a.deploy.Node),
 	)
 	a.watcher = watcher
 	a.tree.Cleanup(stop)
@@ -576,6 +579,17 @@
 	f.agent.peers.Update(timer.Now(), false, func(n *peers.Node) { n.Store = reachable })
 }
 
+// SetStoreEpoch publishes the epoch of the store to the other nodes.
+func (f fleet) SetStoreEpoch(epoch int64) {
+	f.agent.peers.Update(timer.Now(), true, func(n *peers.Node) { n.StoreEpoch = epoch })
+}
+
+// Size returns the number of live nodes.
+func (f fleet) Size() int {
+	nodes, _ := f.agent.peers.View().Size()
+	return nodes
+}
+
 // Learn adds the nodes of the given records to the known ones. Deleted records are
 // skipped. So are records that can't be decoded or whose name differs from their key;
 // these are logged.
--- a/internal/node/gate/withdrawal.go
+++ b/internal/node/gate/withdrawal.go
@@ -88,6 +88,7 @@
 		if old := g.withdrawals[i]; w.StartedAt == 0 || old.StartedAt > w.StartedAt {
 			w.StartedAt = old.StartedAt
 		}
+		w.At = max(w.At, g.withdrawals[i].At)
 		g.withdrawals = slices.Delete(g.withdrawals, i, i+1)
 	}
 	g.withdrawals = append(g.withdrawals, w)
--- a/internal/node/watch/epoch.go
+++ b/internal/node/watch/epoch.go
@@ -24,22 +24,34 @@
 	case unnamed:
 		w.log.Warn().Int64("epoch", before).Str("call", operation).Msg("store names no epoch; a restore can't be noticed")
 	case changed && before == EpochUnknown:
+		w.fleet.SetStoreEpoch(epoch)
 		w.log.Info().Int64("epoch", epoch).Str("call", operation).Msg("store epoch known")
-	case changed && epoch < before:
-		w.log.Warn().Int64("epoch", epoch).Int64("before", before).Str("call", operation).Msg("store epoch went back")
 	case changed:
-		w.log.Warn().Int64("epoch", epoch).Int64("before", before).Str("call", operation).
-			Int64("offset", position.Offset).Msg("store was restored from a copy")
+		w.fleet.SetStoreEpoch(epoch)
+		w.scheduleRewrite()
+		text := "store was restored from a copy"
+		if epoch < before {
+			text = "store epoch went back"
+		}
+		w.log.Warn().Int64("epoch", epoch).Int64("before", before).Str("call", operation).Int64("offset", position.Offset).Msg(text)
 	}
 }
 
-// put writes a record of this node.
-func (w *Watcher) put(r Record) error {
-	known := w.Epoch()
-	epoch, err := w.store.Put(w.topics.Nodes, r.Key, r.Value)
-	if err != nil {
-		return err
+// HearEpoch tells the watcher which epoch of the store another node has observed. A node that does
+// not read the store learns of a restore in this way. It takes over the epoch when the store's
+// response to its next write confirms it.
+func (w *Watcher) HearEpoch(epoch int64, from string) {
+	w.mu.Lock()
+	known := w.epoch
+	isNew := known != EpochUnknown && epoch > max(known, w.heard)
+	if isNew {
+		w.heard = epoch
+		w.records.doubt()
+	}
+	w.mu.Unlock()
+	if !isNew {
+		return
 	}
-	w.observeEpoch(epoch, known, "write record")
-	return nil
+	w.log.Info().Int64("epoch", epoch).Int64("before", known).Str("from", from).Msg("store was restored according to another node")
+	w.scheduleRewrite()
 }
--- /dev/null
+++ b/internal/node/watch/records.go
@@ -0,0 +1,187 @@
+package watch
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// writeSpacing is the mean interval between the writes of all nodes after a restore of
+	// the store, which takes one write in about half of it.
+	writeSpacing = 4 * time.Millisecond
+	// minRewriteSpread is the least time over which the nodes spread these writes.
+	minRewriteSpread = 500 * time.Millisecond
+	// relistMargin is how much later the readers list the nodes again: those that have
+	// started meanwhile found few others.
+	relistMargin = 1 * time.Second
+)
+
+// ownRecord is a record that this node keeps in the store.
+type ownRecord struct {
+	value []byte
+	// revision increases with each value. stored is the latest revision that the store has
+	// acknowledged, 0 if none, and epoch the epoch of the store in which it did.
+	revision int
+	stored   int
+	epoch    int64
+}
+
+// ownRecords are the records that this node keeps in the store, by key.
+type ownRecords map[string]*ownRecord
+
+// set sets the value of a record.
+func (o ownRecords) set(r Record) {
+	own, ok := o[r.Key]
+	if !ok {
+		own = &ownRecord{}
+		o[r.Key] = own
+	}
+	own.value = r.Value
+	own.revision++
+}
+
+// adopt takes over a record that an earlier process of this node has stored, and that was
+// found in the given epoch.
+func (o ownRecords) adopt(r Record, epoch int64) {
+	if _, ok := o[r.Key]; ok {
+		return
+	}
+	o.set(r)
+	o.acknowledge(r.Key, o[r.Key].revision, epoch)
+}
+
+// missing returns a record that the store may lack in the given epoch with its revision, and
+// false if there is none.
+func (o ownRecords) missing(epoch int64) (Record, int, bool) {
+	for key, own := range o {
+		if own.stored != own.revision || own.epoch != epoch {
+			return Record{
+				Key:   key,
+				Value: own.value,
+			}, own.revision, true
+		}
+	}
+	return Record{}, 0, false
+}
+
+// acknowledge records that the store has taken a revision of a record.
+func (o ownRecords) acknowledge(key string, revision int, epoch int64) {
+	o[key].stored = revision
+	o[key].epoch = epoch
+}
+
+// doubt makes all records count as missing.
+func (o ownRecords) doubt() {
+	for _, own := range o {
+		own.stored = 0
+	}
+}
+
+// Store stores a record in the topic of nodes, in the background and again until the store
+// has taken it, and again when the store was restored from a copy. A later record of the key
+// replaces it.
+func (w *Watcher) Store(r Record) {
+	w.mu.Lock()
+	w.records.set(r)
+	w.mu.Unlock()
+	signal(w.queued)
+}
+
+// signal makes the goroutine that waits for a channel of capacity 1 go on.
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// keepRecords keeps this node's records in the store, first its registration. A node that
+// was not among those that run has listed, since it is new, lists the nodes again once it is
+// registered: of two new nodes at least one then learns of the other.
+func (w *Watcher) keepRecords(ctx context.Context, wasListed <-chan bool) {
+	w.writeRecords(ctx)
+	var rewriteAt, relistAt <-chan time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case listed := <-wasListed:
+			if !listed {
+				w.relist(ctx)
+			}
+		case <-w.queued:
+			w.writeRecords(ctx)
+		case <-w.restored:
+			spread := max(minRewriteSpread, time.Duration(w.fleet.Size())*writeSpacing)
+			rewriteAt = time.After(rand.N(spread))
+			relistAt = time.After(spread + relistMargin)
+		case <-rewriteAt:
+			w.rewriteRecords(ctx)
+		case <-relistAt:
+			if w.isReader() {
+				w.relist(ctx)
+			}
+		}
+	}
+}
+
+// scheduleRewrite makes keepRecords write lost records again, unless it is about to.
+func (w *Watcher) scheduleRewrite() {
+	if !w.rewriteDue.Swap(true) {
+		signal(w.restored)
+	}
+}
+
+// rewriteRecords writes the records that a restore of the store has lost.
+func (w *Watcher) rewriteRecords(ctx context.Context) {
+	w.rewriteDue.Store(false)
+	written := w.writeRecords(ctx)
+	w.rewritten.Add(int64(written))
+	w.log.Info().Int64("epoch", w.Epoch()).Int("records", written).Msg("records written again")
+}
+
+// relist lists the nodes again.
+func (w *Watcher) relist(ctx context.Context) {
+	w.retry(ctx, "list nodes", func() error {
+		_, err := w.listNodes()
+		return err
+	})
+}
+
+// writeRecords writes the records that the store may lack, each until the store has taken
+// it, and returns their number.
+func (w *Watcher) writeRecords(ctx context.Context) (written int) {
+	for ; ctx.Err() == nil; written++ {
+		w.mu.Lock()
+		r, revision, ok := w.records.missing(w.epoch)
+		w.mu.Unlock()
+		if !ok {
+			break
+		}
+		w.retry(ctx, "write record", func() error { return w.write(r, revision) })
+	}
+	return written
+}
+
+// write writes a revision of a record.
+func (w *Watcher) write(r Record, revision int) error {
+	known := w.Epoch()
+	epoch, err := w.store.Put(w.topics.Nodes, r.Key, r.Value)
+	if err != nil {
+		return err
+	}
+	w.observeEpoch(epoch, known, "write record")
+	if epoch == EpochUnknown {
+		epoch = known
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.records.acknowledge(r.Key, revision, epoch)
+	return nil
+}
+
+// Rewritten returns how many records this node has written again after restores of the store.
+func (w *Watcher) Rewritten() int64 {
+	return w.rewritten.Load()
+}
--- a/internal/node/watch/restore_test.go
+++ b/internal/node/watch/restore_test.go
@@ -1,7 +1,10 @@
 package watch
 
 import (
+	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -141,3 +144,83 @@
 		So(w.Epoch(), ShouldEqual, 5)
 	})
 }
+
+// TestRestoreHeardFromAnotherNode guards against records that stay lost at nodes that don't read the
+// store, and against writes without end where a node reports an epoch that the store does not have.
+func TestRestoreHeardFromAnotherNode(t *testing.T) {
+	Convey("Given a node that does not read the store", t, func() {
+		s, f := newFakeStore(), &fakeFleet{readers: []string{"n0", "n1"}}
+		s.write("op", "config", config("3"))
+		w := start(t, s, f)
+		So(eventually(func() bool { return s.value("nodes", "n1") != nil && w.Epoch() == 0 }), ShouldBeTrue)
+		Convey("it writes its records again when another node reports a restore", func() {
+			s.restore("op")
+			w.HearEpoch(1, "n0")
+			So(eventually(func() bool { return s.value("nodes", "n1") != nil && w.Epoch() == 1 }), ShouldBeTrue)
+		})
+		Convey("a report that the store does not confirm makes it write once", func() {
+			w.HearEpoch(7, "n0")
+			So(eventually(func() bool { return w.Rewritten() == 1 }), ShouldBeTrue)
+			w.HearEpoch(7, "n0")
+			w.HearEpoch(6, "n0")
+			So(w.Epoch(), ShouldEqual, 0)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			_, _, missing := w.records.missing(0)
+			So(missing, ShouldBeFalse)
+			So(len(w.restored), ShouldEqual, 0)
+		})
+	})
+}
+
+// TestManyNodesAfterRestore guards against hundreds of nodes that write their records at the same
+// moment after a restore, so that the store rejects the operator's writes among them.
+func TestManyNodesAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			nodes = 200
+			// inWindow is how many writes the store can take in window.
+			window   = 100 * time.Millisecond
+			inWindow = 50
+		)
+		s := newFakeStore()
+		var watchers []*Watcher
+		var stops []func()
+		for i := range nodes {
+			f := &fakeFleet{
+				readers: []string{"n0"},
+				size:    nodes,
+			}
+			w, stop := New(fmt.Sprintf("n%d", i), []byte("record"), s, f, topics, parse)
+			watchers, stops = append(watchers, w), append(stops, stop)
+		}
+		time.Sleep(time.Second)
+		s.restore("op")
+		s.withLock(func() { s.puts = nil })
+		for _, w := range watchers {
+			w.HearEpoch(1, "n0")
+		}
+		time.Sleep(10 * time.Second)
+		for _, stop := range stops {
+			stop()
+		}
+		// Goroutines of the bubble end only while its clock runs.
+		time.Sleep(10 * time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if len(s.puts) != nodes {
+			t.Fatalf("%d writes of %d nodes", len(s.puts), nodes)
+		}
+		for i, from := range s.puts {
+			in := 0
+			for _, at := range s.puts[i:] {
+				if at.Sub(from) <= window {
+					in++
+				}
+			}
+			if in > inWindow {
+				t.Fatalf("%d writes within %v, the store takes %d", in, window, inWindow)
+			}
+		}
+	})
+}
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -76,8 +77,12 @@
 	Readers() []string
 	// SetStoreReachable tells the other nodes whether this node reaches the store.
 	SetStoreReachable(reachable bool)
+	// SetStoreEpoch tells the other nodes the epoch of the store that this node has observed.
+	SetStoreEpoch(epoch int64)
 	// Learn adds the nodes whose records were found in the store to the known nodes.
 	Learn(records []Record)
+	// Size returns the number of live nodes.
+	Size() int
 }
 
 // Topics names the topics and keys of the store that a node uses.
@@ -123,7 +128,6 @@
 // concurrent use.
 type Watcher struct {
 	self   string
-	record []byte
 	store  Store
 	fleet  Fleet
 	topics Topics
@@ -136,14 +140,24 @@
 	rules     *rules.Rules
 	onApply   func(*rules.Rules)
 	reachable bool
-	// pending is the record to be stored; queued is signalled when it is set.
-	pending Record
-	queued  chan struct{}
+	// records are this node's records in the store, ownKeys the keys of those that earlier
+	// processes of the node may have stored. queued is signalled when one is set, restored when
+	// the store may have lost some.
+	records  ownRecords
+	ownKeys  []string
+	queued   chan struct{}
+	restored chan struct{}
+	// rewriteDue says that records are about to be written again.
+	rewriteDue atomic.Bool
+	// rewritten counts the records that were written after a restore.
+	rewritten atomic.Int64
 	// position is where the next poll starts. Its offset is -1 if the newest records must be
 	// read first.
 	position Position
 	// epoch is the newest known epoch of the store, EpochUnknown before the first.
 	epoch int64
+	// heard is the newest epoch that another node has observed.
+	heard int64
 	// unnamed says that the last response named no epoch although an earlier one did.
 	unnamed bool
 	// upToDate says that the last call has confirmed position. It is used by run alone.
@@ -168,20 +182,29 @@
 	}
 }
 
+// WithOwnKeys names the keys of the records that earlier processes of this node may have stored
+// with Store. They are kept in the store like those of this process.
+func WithOwnKeys(keys ...string) Option {
+	return func(w *Watcher) {
+		w.ownKeys = keys
+	}
+}
+
 // New starts a watcher and returns it with a function that stops it without waiting
 // for a call of the store that is in flight. record is stored under the node's name
 // self, so that other nodes can find this one.
 func New(self string, record []byte, store Store, fleet Fleet, topics Topics, parse Parser, options ...Option) (*Watcher, func()) {
 	w := &Watcher{
-		self:    self,
-		record:  record,
-		store:   store,
-		fleet:   fleet,
-		topics:  topics,
-		parse:   parse,
-		log:     zerolog.Nop(),
-		onApply: func(*rules.Rules) {},
-		queued:  make(chan struct{}, 1),
+		self:     self,
+		store:    store,
+		fleet:    fleet,
+		topics:   topics,
+		parse:    parse,
+		log:      zerolog.Nop(),
+		onApply:  func(*rules.Rules) {},
+		records:  ownRecords{},
+		queued:   make(chan struct{}, 1),
+		restored: make(chan struct{}, 1),
 		position: Position{
 			Offset: -1,
 		},
@@ -190,41 +213,15 @@
 	for _, o := range options {
 		o(w)
 	}
+	w.records.set(Record{
+		Key:   self,
+		Value: record,
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go w.run(ctx)
-	go w.storeQueued(ctx)
 	return w, cancel
 }
 
-// Store stores a record in the topic of nodes, in the background and again until the store
-// has taken it. A later record replaces one that is not stored yet.
-func (w *Watcher) Store(r Record) {
-	w.mu.Lock()
-	w.pending = r
-	w.mu.Unlock()
-	select {
-	case w.queued <- struct{}{}:
-	default:
-	}
-}
-
-// storeQueued stores the pending record whenever it is set.
-func (w *Watcher) storeQueued(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-w.queued:
-		}
-		w.retry(ctx, "store", func() error {
-			w.mu.Lock()
-			r := w.pending
-			w.mu.Unlock()
-			return w.put(r)
-		})
-	}
-}
-
 // Current returns the configuration in force, nil before the first one.
 func (w *Watcher) Current() *rules.Rules {
 	w.mu.Lock()
@@ -274,9 +271,15 @@
 // the store while this node is the reader. The node is registered meanwhile: the store takes
 // one write at a time, which lasts when all nodes start at once.
 func (w *Watcher) run(ctx context.Context) {
-	known := make(chan bool, 1)
-	go w.register(ctx, known)
-	w.retry(ctx, "list nodes", func() error { return w.listNodes(known) })
+	wasListed := make(chan bool, 1)
+	go w.keepRecords(ctx, wasListed)
+	w.retry(ctx, "list nodes", func() error {
+		listed, err := w.listNodes()
+		if err == nil {
+			wasListed <- listed
+		}
+		return err
+	})
 	w.retry(ctx, "read configuration", w.readNewest)
 	for ctx.Err() == nil {
 		switch {
@@ -292,23 +295,6 @@
 	}
 }
 
-// register registers the node. A node that was not among the listed ones, since it is new,
-// lists the nodes again afterwards: of two new nodes at least one then learns of the other.
-func (w *Watcher) register(ctx context.Context, known chan bool) {
-	own := Record{
-		Key:   w.self,
-		Value: w.record,
-	}
-	w.retry(ctx, "register", func() error { return w.put(own) })
-	select {
-	case wasListed := <-known:
-		if !wasListed {
-			w.retry(ctx, "list nodes", func() error { return w.listNodes(known) })
-		}
-	case <-ctx.Done():
-	}
-}
-
 // retry repeats a call of the store with exponential backoff and jitter until it
 // succeeds or the context ends. It gives up on ErrTrimmed, after which the newest
 // records are read again.
@@ -358,18 +344,25 @@
 	w.log.Warn().Str("dependency", "store").Str("call", operation).Err(err).Msg("dependency unreachable")
 }
 
-// listNodes passes the records of the nodes on, and sends to known whether this node was
-// among them.
-func (w *Watcher) listNodes(known chan<- bool) error {
-	epoch := w.Epoch()
+// listNodes passes the records of the nodes on, and reports whether this node was among
+// them.
+func (w *Watcher) listNodes() (listed bool, err error) {
+	known := w.Epoch()
 	records, position, err := w.store.Newest(w.topics.Nodes)
 	if err != nil {
-		return err
+		return false, err
+	}
+	w.observeEpoch(position.Epoch, known, "list nodes")
+	w.mu.Lock()
+	for _, r := range records {
+		listed = listed || r.Key == w.self && r.Value != nil
+		if slices.Contains(w.ownKeys, r.Key) && r.Value != nil {
+			w.records.adopt(r, position.Epoch)
+		}
 	}
-	w.observeEpoch(position.Epoch, epoch, "list nodes")
+	w.mu.Unlock()
 	w.fleet.Learn(records)
-	known <- slices.ContainsFunc(records, func(r Record) bool { return r.Key == w.self && r.Value != nil })
-	return nil
+	return listed, nil
 }
 
 // needsNewest reports whether the newest records must be read before the next poll.
--- a/internal/node/watch/watch_test.go
+++ b/internal/node/watch/watch_test.go
@@ -33,6 +33,8 @@
 	reading int
 	// lists counts the calls of Newest.
 	lists int
+	// puts holds the times of the writes.
+	puts []time.Time
 	// firstWait is how long the first successful read was to wait, by epoch.
 	firstWait map[int64]time.Duration
 }
@@ -102,6 +104,7 @@
 	if s.fail != nil {
 		return EpochUnknown, s.fail
 	}
+	s.puts = append(s.puts, time.Now())
 	s.records[topic] = append(s.records[topic], Record{
 		Key:   key,
 		Value: value,
@@ -158,6 +161,7 @@
 	reachable []bool
 	// learned counts the records passed to Learn.
 	learned int
+	size    int
 }
 
 func (f *fakeFleet) Readers() []string {
@@ -178,6 +182,10 @@
 	f.reachable = append(f.reachable, reachable)
 }
 
+func (f *fakeFleet) SetStoreEpoch(int64) {}
+
+func (f *fakeFleet) Size() int { return f.size }
+
 func (f *fakeFleet) Learn(records []Record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
