node/watch: a starting node takes a newer configuration from other nodes before it serves

Seen by callers: a node that starts while the store, restored from a copy, holds an older configuration serves with that one: withdrawn keys work, added routes answer 404. Own test, real processes: 17, 17 and 17 requests with a withdrawn key served in three runs (10 and 14 in two later ones), until the next heartbeat of a neighbour told of a newer version. Cause: what the store returns counted as the newest, with nobody asked. Class: a single source believed at start although others know better.

Ruled out: holding the configuration only if the store's epoch is newer than that of the nodes' records (says nothing while all records are new, and nodes that are gone for good leave old ones); asking for a version by call (heartbeats carry it already).

Nodes answer the first heartbeat of a start at once, keepers also to other domains, so that this is a round trip and not a heartbeat's period.

--- a/internal/mesh/peers/peers_test.go
+++ b/internal/mesh/peers/peers_test.go
@@ -402,3 +402,28 @@
 		So(told, ShouldBeFalse)
 	})
 }
+
+// TestConfigurationHeardAtStart guards against a starting node that serves with an old configuration, or
+// waits for long, because the others don't tell at once which one they have in force.
+func TestConfigurationHeardAtStart(t *testing.T) {
+	Convey("A node that starts hears at once which configuration its own and the other domains have", t, func() {
+		net := newNetwork(3, 2)
+		var all []Node
+		for _, p := range net.nodes {
+			p.Update(net.now, true, func(n *Node) { n.Rules = 4 })
+			all = append(all, p.Self())
+		}
+		net.run(time.Second)
+		net.setDisconnected(true, "d1-n0")
+		net.run(time.Second)
+		net.setDisconnected(false, "d1-n0")
+		net.start(1, 0, 2)
+		p := net.nodes["d1-n0"]
+		So(p.View().Known(), ShouldEqual, 1)
+		p.Learn(net.now, all)
+		net.inflight.Wait()
+		So(p.View().Known(), ShouldEqual, len(all))
+		So(p.View().AllHeard(), ShouldBeTrue)
+		So(p.View().NewestConfig(), ShouldEqual, 4)
+	})
+}
--- a/internal/mesh/peers/receive.go
+++ b/internal/mesh/peers/receive.go
@@ -172,6 +172,8 @@
 			node: *n,
 		}
 		p.others[n.Name] = o
+	}
+	if direct && (!ok || n.Incarnation != o.node.Incarnation) || !ok && n.Domain == p.self.Domain {
 		p.announceTo(n)
 	}
 	if n.Incarnation < o.node.Incarnation && o.alive && (!direct || now.Sub(o.lastHeard) <= restartAfter) {
@@ -205,9 +207,10 @@
 	return changed
 }
 
-// announceTo sends a heartbeat at once to a new node of the local domain.
+// announceTo sends a heartbeat at once to a node that has just started, if it is of the local domain
+// or this node is the keeper: it waits to hear which configuration is in force.
 func (p *Peers) announceTo(n *Node) {
-	if n.Domain == p.self.Domain {
+	if n.Domain == p.self.Domain || p.isKeeper() {
 		_ = p.transmit(n, kindHeartbeat, p.encode(kindHeartbeat, []Node{p.self}, nil))
 	}
 }
--- a/internal/mesh/peers/view.go
+++ b/internal/mesh/peers/view.go
@@ -282,6 +282,27 @@
 	return len(v.nodes), len(v.keepers) + 1
 }
 
+// NewestConfig returns the newest version of the configuration that the live nodes have in force,
+// 0 if none has any.
+func (v *View) NewestConfig() int64 {
+	version := int64(0)
+	for i := range v.nodes {
+		version = max(version, v.nodes[i].Rules)
+	}
+	return version
+}
+
+// Known returns the number of known nodes, lost ones and this one included.
+func (v *View) Known() int {
+	return v.known
+}
+
+// AllHeard reports whether all known nodes of the local domain, and one of each other domain,
+// are alive.
+func (v *View) AllHeard() bool {
+	return v.localAlive == v.domain && len(v.keepers)+1 == v.domains
+}
+
 // Keeper returns the name of the local domain's keeper, which holds the domain's tokens.
 func (p *Peers) Keeper() string {
 	return p.View().keeper
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -590,6 +590,21 @@
 	return nodes
 }
 
+// NewestConfig returns the newest version of the configuration that live nodes have in force,
+// and which nodes were heard.
+func (f fleet) NewestConfig() (version int64, heard watch.Heard) {
+	v := f.agent.peers.View()
+	switch {
+	case v.Known() == 1:
+		heard = watch.NoneKnown
+	case v.AllHeard():
+		heard = watch.AllHeard
+	default:
+		heard = watch.SomeSilent
+	}
+	return v.NewestConfig(), heard
+}
+
 // Learn adds the nodes of the given records to the known ones. Deleted records are
 // skipped. So are records that can't be decoded or whose name differs from their key;
 // these are logged.
--- a/internal/node/watch/restore_test.go
+++ b/internal/node/watch/restore_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"fuchsiapier/internal/conf/rules"
 )
 
 // outage makes the store reject all calls until the returned function is called, and waits until
@@ -29,7 +31,7 @@
 	config7 := Record{Key: "config", Value: config("7")}
 	other := Record{Key: "other", Value: []byte("x")}
 	Convey("Given a reader that has read two records", t, func() {
-		s, f := newFakeStore(), &fakeFleet{readers: []string{"n1"}}
+		s, f := newFakeStore(), &fakeFleet{heard: AllHeard, readers: []string{"n1"}}
 		s.write("op", "config", config("3"))
 		w := start(t, s, f)
 		So(waitForVersion(w, 3), ShouldBeTrue)
@@ -61,7 +63,7 @@
 		})
 	})
 	Convey("A node that was the reader before a restore, and is again after it, reads what it has missed", t, func() {
-		s, f := newFakeStore(), &fakeFleet{readers: []string{"n1"}}
+		s, f := newFakeStore(), &fakeFleet{heard: AllHeard, readers: []string{"n1"}}
 		s.write("op", "config", config("3"))
 		w := start(t, s, f)
 		So(waitForVersion(w, 3), ShouldBeTrue)
@@ -80,7 +82,7 @@
 // has written.
 func TestOwnRecordsAfterRestore(t *testing.T) {
 	Convey("Records that a restore has lost are written again", t, func() {
-		s, f := newFakeStore(), &fakeFleet{readers: []string{"n1"}}
+		s, f := newFakeStore(), &fakeFleet{heard: AllHeard, readers: []string{"n1"}}
 		s.write("op", "config", config("3"))
 		w := start(t, s, f)
 		So(eventually(func() bool { return s.value("nodes", "n1") != nil }), ShouldBeTrue)
@@ -106,7 +108,7 @@
 // store whose epoch goes back or is not named in all responses.
 func TestImplausibleEpochs(t *testing.T) {
 	Convey("Given a reader of a store of epoch 5", t, func() {
-		s, f := newFakeStore(), &fakeFleet{readers: []string{"n1"}}
+		s, f := newFakeStore(), &fakeFleet{heard: AllHeard, readers: []string{"n1"}}
 		s.epoch = 5
 		s.write("op", "config", config("3"))
 		w := start(t, s, f)
@@ -136,7 +138,7 @@
 		s.withLock(func() { So(s.lists-lists, ShouldBeLessThan, 10) })
 	})
 	Convey("A delayed response of an earlier epoch changes nothing", t, func() {
-		s, f := newFakeStore(), &fakeFleet{readers: []string{"n1"}}
+		s, f := newFakeStore(), &fakeFleet{heard: AllHeard, readers: []string{"n1"}}
 		s.epoch = 5
 		w := start(t, s, f)
 		So(eventually(func() bool { return w.Epoch() == 5 }), ShouldBeTrue)
@@ -149,7 +151,7 @@
 // store, and against writes without end where a node reports an epoch that the store does not have.
 func TestRestoreHeardFromAnotherNode(t *testing.T) {
 	Convey("Given a node that does not read the store", t, func() {
-		s, f := newFakeStore(), &fakeFleet{readers: []string{"n0", "n1"}}
+		s, f := newFakeStore(), &fakeFleet{heard: AllHeard, readers: []string{"n0", "n1"}}
 		s.write("op", "config", config("3"))
 		w := start(t, s, f)
 		So(eventually(func() bool { return s.value("nodes", "n1") != nil && w.Epoch() == 0 }), ShouldBeTrue)
@@ -190,6 +192,7 @@
 			f := &fakeFleet{
 				readers: []string{"n0"},
 				size:    nodes,
+				heard:   AllHeard,
 			}
 			w, stop := New(fmt.Sprintf("n%d", i), []byte("record"), s, f, topics, parse)
 			watchers, stops = append(watchers, w), append(stops, stop)
@@ -224,3 +227,51 @@
 		}
 	})
 }
+
+// TestStartWithOlderConfiguration guards against a node that serves with an older configuration than the
+// others have, because it starts while the store holds that one.
+func TestStartWithOlderConfiguration(t *testing.T) {
+	Convey("Given a store with an older configuration than the other nodes", t, func() {
+		s, f := newFakeStore(), &fakeFleet{heard: AllHeard, readers: []string{"n1"}}
+		s.write("op", "config", config("3"))
+		applied := make(chan int64, 10)
+		run := func() *Watcher {
+			w, stop := New("n1", []byte("record"), s, f, topics, parse, WithOnApply(func(r *rules.Rules) { applied <- r.Version() }))
+			t.Cleanup(stop)
+			return w
+		}
+		Convey("a starting node applies only the one of the others", func() {
+			f.inForce = 5
+			w := run()
+			So(eventually(func() bool { return w.Epoch() == 0 }), ShouldBeTrue)
+			So(w.Offer(config("5"), FromPeer, "n2"), ShouldBeTrue)
+			So(eventually(func() bool { return !w.needsNewest() }), ShouldBeTrue)
+			So(<-applied, ShouldEqual, 5)
+			So(len(applied), ShouldEqual, 0)
+		})
+		Convey("it applies the stored one if the others don't send theirs, or none is heard", func() {
+			f.inForce = 5
+			run()
+			So(<-applied, ShouldEqual, 3)
+			for _, heard := range []Heard{SomeSilent, NoneKnown} {
+				f.inForce, f.heard = 0, heard
+				run()
+				So(<-applied, ShouldEqual, 3)
+			}
+		})
+	})
+	Convey("Nodes that start together don't wait for each other's configuration once all were heard", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			s, f := newFakeStore(), &fakeFleet{heard: AllHeard, readers: []string{"n1"}}
+			s.write("op", "config", config("3"))
+			from := time.Now()
+			applied := make(chan time.Time, 1)
+			_, stop := New("n1", []byte("record"), s, f, topics, parse, WithOnApply(func(*rules.Rules) { applied <- time.Now() }))
+			if at := <-applied; at != from {
+				t.Errorf("applied after %v", at.Sub(from))
+			}
+			stop()
+			time.Sleep(10 * time.Second)
+		})
+	})
+}
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -83,6 +83,9 @@
 	Learn(records []Record)
 	// Size returns the number of live nodes.
 	Size() int
+	// NewestConfig returns the newest version of the configuration that live nodes have in
+	// force, 0 if none has any, and which of the other nodes have been heard.
+	NewestConfig() (version int64, heard Heard)
 }
 
 // Topics names the topics and keys of the store that a node uses.
@@ -280,7 +283,8 @@
 		}
 		return err
 	})
-	w.retry(ctx, "read configuration", w.readNewest)
+	readNewest := func() error { return w.readNewest(ctx) }
+	w.retry(ctx, "read configuration", readNewest)
 	for ctx.Err() == nil {
 		switch {
 		case !w.isReader():
@@ -288,7 +292,7 @@
 			w.upToDate = false
 			sleep(ctx, readerCheckPeriod)
 		case w.needsNewest():
-			w.retry(ctx, "read configuration", w.readNewest)
+			w.retry(ctx, "read configuration", readNewest)
 		default:
 			w.retry(ctx, "poll", w.poll)
 		}
@@ -379,7 +383,7 @@
 	w.position.Offset = -1
 }
 
-func (w *Watcher) readNewest() error {
+func (w *Watcher) readNewest(ctx context.Context) error {
 	known := w.Epoch()
 	records, end, err := w.store.Newest(w.topics.Operator)
 	if err != nil {
@@ -387,6 +391,7 @@
 	}
 	w.observeEpoch(end.Epoch, known, "read configuration")
 	w.upToDate = true
+	w.awaitPeers(ctx, records)
 	w.applyNewest(records)
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/node/watch/watch_test.go
+++ b/internal/node/watch/watch_test.go
@@ -162,6 +162,9 @@
 	// learned counts the records passed to Learn.
 	learned int
 	size    int
+	// inForce is the newest version that other nodes have in force, heard which were heard.
+	inForce int64
+	heard   Heard
 }
 
 func (f *fakeFleet) Readers() []string {
@@ -186,6 +189,12 @@
 
 func (f *fakeFleet) Size() int { return f.size }
 
+func (f *fakeFleet) NewestConfig() (int64, Heard) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.inForce, f.heard
+}
+
 func (f *fakeFleet) Learn(records []Record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -238,7 +247,7 @@
 // older or unrelated record that replaces the configuration in force.
 func TestReaderFollowsTheStore(t *testing.T) {
 	Convey("The node registers, reads the newest configuration and follows changes", t, func() {
-		s, f := newFakeStore(), &fakeFleet{readers: []string{"n1"}}
+		s, f := newFakeStore(), &fakeFleet{heard: AllHeard, readers: []string{"n1"}}
 		s.write("op", "config", config("3"))
 		w := start(t, s, f)
 		So(waitForVersion(w, 3), ShouldBeTrue)
@@ -247,7 +256,7 @@
 		So(waitForVersion(w, 5), ShouldBeTrue)
 	})
 	Convey("A malformed configuration, an older one and a record of another key are ignored", t, func() {
-		s, f := newFakeStore(), &fakeFleet{readers: []string{"n1"}}
+		s, f := newFakeStore(), &fakeFleet{heard: AllHeard, readers: []string{"n1"}}
 		s.write("op", "config", config("3"))
 		w := start(t, s, f)
 		So(waitForVersion(w, 3), ShouldBeTrue)
@@ -264,7 +273,7 @@
 // at the reader's offset, so that polls from there can only fail.
 func TestNewestRecordsAreReadAfterTrim(t *testing.T) {
 	Convey("After the store deleted old records the newest ones are read again", t, func() {
-		s, f := newFakeStore(), &fakeFleet{readers: []string{"n1"}}
+		s, f := newFakeStore(), &fakeFleet{heard: AllHeard, readers: []string{"n1"}}
 		s.write("op", "config", config("3"))
 		w := start(t, s, f)
 		So(waitForVersion(w, 3), ShouldBeTrue)
@@ -280,7 +289,7 @@
 // store, or that stops reading after it: here the store rejects all calls for a while.
 func TestRecoveryAfterStoreRejectsCalls(t *testing.T) {
 	Convey("The node reports the store as unreachable, applies configurations of peers, and resumes reading after the outage", t, func() {
-		s, f := newFakeStore(), &fakeFleet{readers: []string{"n1"}}
+		s, f := newFakeStore(), &fakeFleet{heard: AllHeard, readers: []string{"n1"}}
 		s.write("op", "config", config("3"))
 		w := start(t, s, f)
 		So(waitForVersion(w, 3), ShouldBeTrue)
@@ -301,7 +310,7 @@
 // against a domain without a reader after its first one is gone.
 func TestOnlyTheReaderPolls(t *testing.T) {
 	Convey("A node that is not the reader does not poll, and starts when the reader is gone", t, func() {
-		s, f := newFakeStore(), &fakeFleet{readers: []string{"n0", "n1"}}
+		s, f := newFakeStore(), &fakeFleet{heard: AllHeard, readers: []string{"n0", "n1"}}
 		s.write("op", "config", config("3"))
 		w := start(t, s, f)
 		So(waitForVersion(w, 3), ShouldBeTrue)
@@ -322,7 +331,7 @@
 // all of them.
 func TestStartOfManyNodes(t *testing.T) {
 	Convey("Configuration and known nodes are in use before the node is registered", t, func() {
-		s, f := newFakeStore(), &fakeFleet{readers: []string{"n1"}}
+		s, f := newFakeStore(), &fakeFleet{heard: AllHeard, readers: []string{"n1"}}
 		s.write("op", "config", config("3"))
 		s.write("nodes", "n1", []byte("earlier process"))
 		s.write("nodes", "n2", []byte("other"))
@@ -342,7 +351,7 @@
 		}), ShouldBeTrue)
 	})
 	Convey("A new node lists the nodes again once it is registered, since others may be new as well", t, func() {
-		s, f := newFakeStore(), &fakeFleet{readers: []string{"n1"}}
+		s, f := newFakeStore(), &fakeFleet{heard: AllHeard, readers: []string{"n1"}}
 		s.write("nodes", "n0", []byte("old"))
 		blocked := make(chan struct{})
 		s.withLock(func() { s.putBlocked = blocked })
