node/watch: a write that the store executes late has no effect after a later one

Seen by callers: none yet; a target that has left could get requests after a restart of its node, since the list of withdrawals in the store would be an older one. Cause: a write without a response was given up for the next value, and the store may execute it seconds later, after that one; nothing ordered the two. With a restore, a write of the old epoch may also arrive in the new one. Class: a late duplicate of a write that is not idempotent, without a fencing token.

Ruled out: a conditional append at the log's end (the records of all nodes are in one partition: 24 nodes that write at once reject each other); writing the value again some seconds later (bounds nothing).

Change: each process writes in a session (its start time) with numbered writes, which the store orders; a write without a response is repeated unchanged. Where the store does not take the order (a restore has lost the session's writes, a clock was set back before a restart) a later session begins, with steps that double. A failed second listing of the nodes no longer delays writes.

TestClockSetBackBeforeStart new; two mutants, both seen.

--- a/internal/node/watch/records.go
+++ b/internal/node/watch/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 )
@@ -102,13 +103,15 @@
 func (w *Watcher) keepRecords(ctx context.Context, wasListed <-chan bool) {
 	w.writeRecords(ctx)
 	var rewriteAt, relistAt <-chan time.Time
+	isNew := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case listed := <-wasListed:
 			if !listed {
-				w.relist(ctx)
+				isNew = true
+				relistAt = time.After(0)
 			}
 		case <-w.queued:
 			w.writeRecords(ctx)
@@ -119,9 +122,14 @@
 		case <-rewriteAt:
 			w.rewriteRecords(ctx)
 		case <-relistAt:
-			if w.isReader() {
-				w.relist(ctx)
+			if !isNew && !w.isReader() {
+				continue
 			}
+			if !w.relist() {
+				relistAt = time.After(maxBackoff)
+				continue
+			}
+			isNew = false
 		}
 	}
 }
@@ -135,18 +143,23 @@
 
 // rewriteRecords writes the records that a restore of the store has lost.
 func (w *Watcher) rewriteRecords(ctx context.Context) {
-	w.rewriteDue.Store(false)
 	written := w.writeRecords(ctx)
+	w.rewriteDue.Store(false)
+	w.mu.Lock()
+	_, _, missing := w.records.missing(w.epoch)
+	w.mu.Unlock()
+	if missing {
+		w.scheduleRewrite()
+	}
 	w.rewritten.Add(int64(written))
 	w.log.Info().Int64("epoch", w.Epoch()).Int("records", written).Msg("records written again")
 }
 
-// relist lists the nodes again.
-func (w *Watcher) relist(ctx context.Context) {
-	w.retry(ctx, "list nodes", func() error {
-		_, err := w.listNodes()
-		return err
-	})
+// relist lists the nodes again and reports whether that succeeded.
+func (w *Watcher) relist() bool {
+	_, err := w.listNodes()
+	w.setReachable(err == nil, "list nodes", err)
+	return err == nil
 }
 
 // writeRecords writes the records that the store may lack, each until the store has taken
@@ -164,13 +177,21 @@
 	return written
 }
 
-// write writes a revision of a record.
+// write writes a revision of a record. It starts a new session if the store does not take
+// the write in this one. A write without a response is repeated unchanged, since the store may
+// have taken it or take it later.
 func (w *Watcher) write(r Record, revision int) error {
 	known := w.Epoch()
-	epoch, err := w.store.Put(w.topics.Nodes, r.Key, r.Value)
+	epoch, err := w.store.Put(w.topics.Nodes, r, w.order.Order)
+	if errors.Is(err, ErrFenced) {
+		w.log.Warn().Err(err).Str("key", r.Key).Int64("session", w.order.Session).Int64("seq", w.order.Seq).Msg("write rejected; a new session begins")
+		w.order.startSession(time.Now())
+		return err
+	}
 	if err != nil {
 		return err
 	}
+	w.order.Seq++
 	w.observeEpoch(epoch, known, "write record")
 	if epoch == EpochUnknown {
 		epoch = known
@@ -181,6 +202,32 @@
 	return nil
 }
 
+// writeOrder is the order of the next write of this process.
+type writeOrder struct {
+	Order
+	// step is how much the session increases at least when the next one starts.
+	step int64
+}
+
+// newOrder returns the order of the first write of a process that starts at the given time.
+func newOrder(writer string, now time.Time) writeOrder {
+	return writeOrder{
+		Order: Order{
+			Writer:  writer,
+			Session: now.UnixMilli(),
+		},
+		step: 1,
+	}
+}
+
+// startSession starts a later session. The sessions of an earlier process may be ahead of the
+// clock, if that was set back: the step doubles until it has passed them.
+func (o *writeOrder) startSession(now time.Time) {
+	o.Session = max(o.Session+o.step, now.UnixMilli())
+	o.step *= 2
+	o.Seq = 0
+}
+
 // Rewritten returns how many records this node has written again after restores of the store.
 func (w *Watcher) Rewritten() int64 {
 	return w.rewritten.Load()
--- a/internal/node/watch/restore_test.go
+++ b/internal/node/watch/restore_test.go
@@ -275,3 +275,21 @@
 		})
 	})
 }
+
+// TestClockSetBackBeforeStart guards against a node that can't write its records after a restart, because
+// its earlier process has written in sessions that are ahead of the clock now.
+func TestClockSetBackBeforeStart(t *testing.T) {
+	Convey("A node whose clock was set back by an hour registers all the same", t, func() {
+		s, f := newFakeStore(), &fakeFleet{heard: AllHeard, readers: []string{"n1"}}
+		s.session = time.Now().Add(time.Hour).UnixMilli()
+		order := newOrder("n1", time.Now())
+		starts := 0
+		for ; order.Session < s.session; starts++ {
+			order.startSession(time.Now())
+		}
+		So(starts, ShouldBeLessThan, 25)
+		s.session = time.Now().UnixMilli() + 3
+		start(t, s, f)
+		So(eventually(func() bool { return s.value("nodes", "n1") != nil }), ShouldBeTrue)
+	})
+}
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -42,6 +42,18 @@
 	Value []byte
 }
 
+// Order orders the writes of a node: the store drops a write that arrives after a later one, and
+// takes one that is repeated once.
+type Order struct {
+	// Writer names the node.
+	Writer string
+	// Session increases with each process of the node, and within a process when the store
+	// has lost the session's writes.
+	Session int64
+	// Seq numbers the writes of a session from 0.
+	Seq int64
+}
+
 // Errors of the store, by the effect that the call had.
 var (
 	// ErrRefused means that the store rejected the call without effect: it is busy
@@ -49,6 +61,9 @@
 	ErrRefused = errors.New("store rejected the call")
 	// ErrTrimmed means that the store no longer retains the requested records.
 	ErrTrimmed = errors.New("records are no longer retained by the store")
+	// ErrFenced means that the store has taken a write of a later session, or lacks an
+	// earlier one of this session.
+	ErrFenced = errors.New("store expects a later session of writes")
 	// ErrUnknown means that no response arrived. The outcome is unknown, and a write
 	// may still take effect later.
 	ErrUnknown = errors.New("no response from the store")
@@ -66,8 +81,8 @@
 	// the offset, since they were deleted or it was restored from a copy without them.
 	Read(topic string, from Position, wait time.Duration) ([]Record, Position, error)
 	// Put writes a record and returns the epoch in which the store has taken it; an empty
-	// value deletes the key.
-	Put(topic, key string, value []byte) (epoch int64, err error)
+	// value deletes the key. The error is ErrFenced if the order does not allow the write.
+	Put(topic string, r Record, order Order) (epoch int64, err error)
 }
 
 // Fleet gives the watcher access to the other nodes.
@@ -150,6 +165,8 @@
 	ownKeys  []string
 	queued   chan struct{}
 	restored chan struct{}
+	// order is that of the next write. It is used by keepRecords alone.
+	order writeOrder
 	// rewriteDue says that records are about to be written again.
 	rewriteDue atomic.Bool
 	// rewritten counts the records that were written after a restore.
@@ -212,6 +229,7 @@
 			Offset: -1,
 		},
 		epoch: EpochUnknown,
+		order: newOrder(self, time.Now()),
 	}
 	for _, o := range options {
 		o(w)
@@ -314,7 +332,9 @@
 			w.resetPosition()
 			return
 		}
-		w.setReachable(false, operation, err)
+		if !errors.Is(err, ErrFenced) {
+			w.setReachable(false, operation, err)
+		}
 		sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
--- a/internal/node/watch/watch_test.go
+++ b/internal/node/watch/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"slices"
 	"sync"
 	"testing"
@@ -33,6 +34,8 @@
 	reading int
 	// lists counts the calls of Newest.
 	lists int
+	// session is the lowest session of writes that the store takes.
+	session int64
 	// puts holds the times of the writes.
 	puts []time.Time
 	// firstWait is how long the first successful read was to wait, by epoch.
@@ -92,7 +95,7 @@
 	}
 }
 
-func (s *fakeStore) Put(topic, key string, value []byte) (int64, error) {
+func (s *fakeStore) Put(topic string, r Record, order Order) (int64, error) {
 	s.mu.Lock()
 	blocked := s.putBlocked
 	s.mu.Unlock()
@@ -104,11 +107,11 @@
 	if s.fail != nil {
 		return EpochUnknown, s.fail
 	}
+	if order.Session < s.session {
+		return EpochUnknown, ErrFenced
+	}
 	s.puts = append(s.puts, time.Now())
-	s.records[topic] = append(s.records[topic], Record{
-		Key:   key,
-		Value: value,
-	})
+	s.records[topic] = append(s.records[topic], r)
 	close(s.appended)
 	s.appended = make(chan struct{})
 	return s.epoch, nil
@@ -116,7 +119,12 @@
 
 // write writes a record as another writer does.
 func (s *fakeStore) write(topic, key string, value []byte) {
-	_, _ = s.Put(topic, key, value)
+	_, _ = s.Put(topic, Record{
+		Key:   key,
+		Value: value,
+	}, Order{
+		Session: math.MaxInt64,
+	})
 }
 
 // restore replaces the records by those of a copy and gives the store a new epoch.
