--- a/internal/node/watch/restore_test.go
+++ b/internal/node/watch/restore_test.go
@@ -23,6 +23,18 @@
 	return func() { s.withLock(func() { s.fail = nil }) }
 }
 
+// startReader starts a reader and waits until it has read the versions 3 and 5.
+func startReader(t *testing.T) (*fakeStore, *fakeFleet, *Watcher) {
+	t.Helper()
+	s, f := newFakeStore(), &fakeFleet{heard: AllHeard, readers: []string{"n1"}}
+	s.write("op", "config", config("3"))
+	w := start(t, s, f)
+	So(waitForVersion(w, 3), ShouldBeTrue)
+	s.write("op", "config", config("5"))
+	So(waitForVersion(w, 5), ShouldBeTrue)
+	return s, f, w
+}
+
 // TestOffsetAfterRestore guards against a change that a reader never reads: the store was
 // restored from a copy, and by the time that the reader polls again the log has grown to the
 // reader's offset, so that the poll succeeds and returns later records only.
@@ -31,12 +43,7 @@
 	config7 := Record{Key: "config", Value: config("7")}
 	other := Record{Key: "other", Value: []byte("x")}
 	Convey("Given a reader that has read two records", t, func() {
-		s, f := newFakeStore(), &fakeFleet{heard: AllHeard, readers: []string{"n1"}}
-		s.write("op", "config", config("3"))
-		w := start(t, s, f)
-		So(waitForVersion(w, 3), ShouldBeTrue)
-		s.write("op", "config", config("5"))
-		So(waitForVersion(w, 5), ShouldBeTrue)
+		s, f, w := startReader(t)
 		end := outage(s, f)
 		Convey("it reads a change below its offset in the restored log, which ends there", func() {
 			s.restore("op", config3, config7)
@@ -63,12 +70,7 @@
 		})
 	})
 	Convey("A node that was the reader before a restore, and is again after it, reads what it has missed", t, func() {
-		s, f := newFakeStore(), &fakeFleet{heard: AllHeard, readers: []string{"n1"}}
-		s.write("op", "config", config("3"))
-		w := start(t, s, f)
-		So(waitForVersion(w, 3), ShouldBeTrue)
-		s.write("op", "config", config("5"))
-		So(waitForVersion(w, 5), ShouldBeTrue)
+		s, f, w := startReader(t)
 		f.setReaders("n0", "n1")
 		So(eventually(func() bool { return s.idle() }), ShouldBeTrue)
 		s.restore("op", config3, config7)
