--- a/lab/store/store.go
+++ b/lab/store/store.go
@@ -183,13 +183,6 @@
 	s.wake()
 }
 
-// Records returns the newest value of each key in the named topic.
-func (s *Store) Records(name string) map[string][]byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return maps.Clone(s.newest(name))
-}
-
 // Newest returns the newest value of a key in the named topic, or nil if the key
 // has none.
 func (s *Store) Newest(name, key string) []byte {
