node/watch: log and measure how current a node's configuration is

The lines could not tell since when a node knows of a newer version, how old the store's last response was when a request was handled, which node reads and why, nor how long a lost call took.

Added: 'newer configuration known', 'this node reads the store' and 'another node reads the store'; behind-ms, store-age-ms, took-ms on the lines of configurations, fetches and the store; on 'request answered' where the node knew of a newer version and with 401, 403, 404. Gauges of the newest known version, the time behind and the age of the store's response, a histogram of the time from hearing to in force, a counter of failed fetches.

--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -210,15 +210,10 @@
 	}
 	a.stats.Gauge("fuchsiapier_store_epoch", "Epoch of the store, which increases when it is restored from a copy, -1 if it names none.", func() float64 { return float64(a.watcher.Epoch()) })
 	a.stats.Counter("fuchsiapier_store_records_rewritten_total", "Records of this node that were written again since the store was restored from a copy.", nil, func() float64 { return float64(a.watcher.Rewritten()) })
-	register("rules_version", "Version of the configuration in force, 0 before the first.", a.rulesVersion)
-}
-
-// rulesVersion returns the version of the configuration in force, 0 before the first.
-func (a *Agent) rulesVersion() int {
-	if r := a.watcher.Current(); r != nil {
-		return int(r.Version())
-	}
-	return 0
+	register("rules_version", "Version of the configuration in force, 0 before the first.", func() int { return int(a.watcher.Freshness().Version) })
+	register("rules_newest_version", "Newest version of the configuration that the node knows to exist.", func() int { return int(a.watcher.Freshness().Newest) })
+	a.stats.Gauge("fuchsiapier_rules_behind_seconds", "How long the node has known of a newer configuration than the one in force, 0 if of none.", func() float64 { return a.watcher.Freshness().Behind.Seconds() })
+	a.stats.Gauge("fuchsiapier_store_response_age_seconds", "Time since the last response of the store to this node.", func() float64 { return a.watcher.Freshness().StoreAge.Seconds() })
 }
 
 // self returns the record of this node, made from its settings. It fails if the listen
@@ -299,6 +294,7 @@
 	watcher, stop := watch.New(self.Name, record, a.adapter.Store, fleet{agent: a}, a.adapter.Topics, a.adapter.Parse,
 		watch.WithLog(a.log),
 		watch.WithOnApply(a.configApplied),
+		watch.WithOnCaughtUp(a.stats.RecordCaughtUp),
 		watch.WithOwnKeys(withdrawnPrefix+a.deploy.Node),
 	)
 	a.watcher = watcher
@@ -314,6 +310,7 @@
 		Self:        self,
 		Service:     a.localService,
 		Rules:       a.watcher.Current,
+		Freshness:   a.watcher.Freshness,
 		Fleet:       a.peers,
 		Gate:        a.gate,
 		Remote:      a.links,
@@ -447,6 +444,7 @@
 // fetchRules fetches and applies the configuration of a node that has a newer one,
 // now or at the time that the schedule sets.
 func (a *Agent) fetchRules(from peers.Node) {
+	a.watcher.Hear(from.Rules, from.Name)
 	if r := a.watcher.Current(); r != nil && r.Version() >= from.Rules {
 		return
 	}
@@ -461,9 +459,11 @@
 		return
 	}
 	defer a.fetchSchedule.done()
+	begin := time.Now()
 	raw, err := a.links.FetchRules(from)
 	if err != nil {
-		a.log.Warn().Err(err).Str("from", from.Name).Int64("version", from.Rules).Msg("configuration fetch failed")
+		a.stats.CountFailedFetch()
+		a.log.Warn().Err(err).Str("from", from.Name).Int64("version", from.Rules).Int64("took-ms", time.Since(begin).Milliseconds()).Msg("configuration fetch failed")
 		return
 	}
 	a.watcher.Offer(raw, watch.FromPeer, from.Name)
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -19,6 +19,7 @@
 	"fuchsiapier/internal/conf/rules"
 	"fuchsiapier/internal/mesh/peers"
 	"fuchsiapier/internal/node/call"
+	"fuchsiapier/internal/node/watch"
 	"fuchsiapier/internal/pipe/httpd"
 	"fuchsiapier/internal/pipe/msg"
 )
@@ -103,6 +104,7 @@
 	filter      msg.Filter
 	service     func() string
 	rules       func() *rules.Rules
+	freshness   func() watch.Freshness
 	fleet       Fleet
 	gate        Gate
 	remote      Remote
@@ -128,8 +130,10 @@
 	Self peers.Node
 	// Service returns the name of the service on the node's VM.
 	Service func() string
-	// Rules returns the configuration in force, nil before the first.
+	// Rules returns the configuration in force, nil before the first, and Freshness how
+	// current it is.
 	Rules       func() *rules.Rules
+	Freshness   func() watch.Freshness
 	Fleet       Fleet
 	Gate        Gate
 	Remote      Remote
@@ -148,6 +152,7 @@
 			fasthttp.HeaderAuthorization, call.FieldCall, call.FieldLoad, call.FieldRefused),
 		service:      c.Service,
 		rules:        c.Rules,
+		freshness:    c.Freshness,
 		fleet:        c.Fleet,
 		gate:         c.Gate,
 		remote:       c.Remote,
@@ -450,8 +455,16 @@
 		line = line.Int64("left-ms", time.Until(q.call.Deadline).Milliseconds()).
 			Int64("path-wait-ms", q.pathWait.Milliseconds()).Int("path-loss-percent", int(100*q.pathLoss))
 	}
+	if f := e.freshness(); f.Newest > q.version || isConfigured(status) {
+		line = line.Int64("rules-newest", f.Newest).Int64("rules-behind-ms", f.Behind.Milliseconds()).Int64("store-age-ms", f.StoreAge.Milliseconds())
+	}
 	if q.tokenOwner != "" {
 		line = line.Str("token-owner", q.tokenOwner).Int64("token-wait-ms", q.tokenWait.Milliseconds()).Float64("rate", q.workspace.Rate)
 	}
 	line.Msg("request answered")
 }
+
+// isConfigured reports whether a status follows from the configuration in force alone.
+func isConfigured(status int) bool {
+	return status == fasthttp.StatusUnauthorized || status == fasthttp.StatusForbidden || status == fasthttp.StatusNotFound
+}
--- a/internal/node/entry/entry_test.go
+++ b/internal/node/entry/entry_test.go
@@ -15,6 +15,7 @@
 	"fuchsiapier/internal/conf/rules"
 	"fuchsiapier/internal/mesh/peers"
 	"fuchsiapier/internal/node/call"
+	"fuchsiapier/internal/node/watch"
 	"fuchsiapier/internal/pipe/httpd"
 	"fuchsiapier/internal/pipe/msg"
 )
@@ -92,6 +93,7 @@
 		Self:        self,
 		Service:     func() string { return "front" },
 		Rules:       func() *rules.Rules { return f.rules },
+		Freshness:   func() watch.Freshness { return watch.Freshness{} },
 		Fleet:       f,
 		Gate:        f,
 		Remote:      f,
--- a/internal/node/stats/stats.go
+++ b/internal/node/stats/stats.go
@@ -16,6 +16,9 @@
 	responses *prometheus.CounterVec
 	latency   *prometheus.HistogramVec
 	dropped   prometheus.Counter
+	// caughtUp and failedFetches are about newer configurations that other nodes have.
+	caughtUp      prometheus.Histogram
+	failedFetches prometheus.Counter
 }
 
 // New returns metrics with a new registry.
@@ -35,8 +38,17 @@
 			Name: "fuchsiapier_log_dropped_total",
 			Help: "Log lines left out because there were too many.",
 		}),
+		caughtUp: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "fuchsiapier_rules_caught_up_seconds",
+			Help:    "Time from hearing of a newer configuration until it is in force.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}),
+		failedFetches: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "fuchsiapier_rules_fetches_failed_total",
+			Help: "Failed attempts to fetch a configuration from another node.",
+		}),
 	}
-	s.registry.MustRegister(s.responses, s.latency, s.dropped)
+	s.registry.MustRegister(s.responses, s.latency, s.dropped, s.caughtUp, s.failedFetches)
 	return s
 }
 
@@ -52,6 +64,16 @@
 	s.latency.WithLabelValues(route).Observe(elapsed.Seconds())
 }
 
+// RecordCaughtUp records the time from hearing of a newer configuration until it is in force.
+func (s *Stats) RecordCaughtUp(delay time.Duration) {
+	s.caughtUp.Observe(delay.Seconds())
+}
+
+// CountFailedFetch counts a failed attempt to fetch a configuration from another node.
+func (s *Stats) CountFailedFetch() {
+	s.failedFetches.Inc()
+}
+
 // CountDropped counts n log lines that were not written.
 func (s *Stats) CountDropped(n int) {
 	s.dropped.Add(float64(n))
--- a/internal/node/watch/records.go
+++ b/internal/node/watch/records.go
@@ -102,8 +102,9 @@
 
 // relist lists the nodes again and reports whether that succeeded.
 func (w *Watcher) relist() bool {
+	begin := time.Now()
 	_, err := w.listNodes()
-	w.setReachable(err == nil, "list nodes", err)
+	w.setReachable(err == nil, "list nodes", err, time.Since(begin))
 	return err == nil
 }
 
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -125,10 +125,18 @@
 
 	mu sync.Mutex
 	// raw is the record from which rules was decoded.
-	raw       []byte
-	rules     *rules.Rules
-	onApply   func(*rules.Rules)
-	reachable bool
+	raw        []byte
+	rules      *rules.Rules
+	onApply    func(*rules.Rules)
+	onCaughtUp func(time.Duration)
+	reachable  bool
+	// newest is the newest version that other nodes have in force.
+	newest heardVersion
+	// respondedAt is when the store last responded to this node, or when this node started.
+	respondedAt time.Time
+	// reader is whether this node read the store when it last looked, since readerSince.
+	reader      bool
+	readerSince time.Time
 	// records are this node's records in the store, ownKeys the keys of those that earlier
 	// processes of the node may have stored. queued is signalled when one is set, restored when
 	// the store may have lost some.
@@ -166,6 +174,14 @@
 	}
 }
 
+// WithOnCaughtUp registers a function that is called when a newer configuration that other nodes
+// told of is in force, with the time since the node first heard of one.
+func WithOnCaughtUp(f func(time.Duration)) Option {
+	return func(w *Watcher) {
+		w.onCaughtUp = f
+	}
+}
+
 // WithLog sets the logger; without it nothing is logged.
 func WithLog(log zerolog.Logger) Option {
 	return func(w *Watcher) {
@@ -186,16 +202,19 @@
 // self, so that other nodes can find this one.
 func New(self string, record []byte, store Store, fleet Fleet, topics Topics, parse Parser, options ...Option) (*Watcher, func()) {
 	w := &Watcher{
-		self:     self,
-		store:    store,
-		fleet:    fleet,
-		topics:   topics,
-		parse:    parse,
-		log:      zerolog.Nop(),
-		onApply:  func(*rules.Rules) {},
-		records:  ownRecords{},
-		queued:   make(chan struct{}, 1),
-		restored: make(chan struct{}, 1),
+		self:        self,
+		store:       store,
+		fleet:       fleet,
+		topics:      topics,
+		parse:       parse,
+		log:         zerolog.Nop(),
+		onApply:     func(*rules.Rules) {},
+		onCaughtUp:  func(time.Duration) {},
+		respondedAt: time.Now(),
+		readerSince: time.Now(),
+		records:     ownRecords{},
+		queued:      make(chan struct{}, 1),
+		restored:    make(chan struct{}, 1),
 		position: Position{
 			Offset: -1,
 		},
@@ -246,15 +265,21 @@
 	if w.rules != nil {
 		previous = w.rules.Version()
 	}
+	behind, wasBehind := w.caughtUp(w.version())
 	w.rules = rules.New(content)
 	w.raw = data
 	current := w.rules
+	storeAge := time.Since(w.respondedAt)
 	w.mu.Unlock()
+	if wasBehind {
+		w.onCaughtUp(behind)
+	}
 	if findings != nil {
 		w.log.Warn().Err(findings).Int64("version", content.Version).Msg("invalid parts of the configuration ignored")
 	}
 	w.log.Info().Int64("version", content.Version).Int64("before", previous).Str("source", string(source)).Str("from", from).
-		Int("routes", len(content.Routes)).Int("workspaces", len(content.Keyrings)).Msg("configuration applied")
+		Int("routes", len(content.Routes)).Int("workspaces", len(content.Keyrings)).
+		Int64("behind-ms", behind.Milliseconds()).Int64("store-age-ms", storeAge.Milliseconds()).Msg("configuration applied")
 	w.onApply(current)
 	return true
 }
@@ -294,9 +319,10 @@
 func (w *Watcher) retry(ctx context.Context, operation string, f func() error) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		begin := time.Now()
 		err := f()
 		if err == nil {
-			w.setReachable(true, operation, nil)
+			w.setReachable(true, operation, nil, time.Since(begin))
 			return
 		}
 		if errors.Is(err, ErrTrimmed) {
@@ -304,7 +330,7 @@
 			return
 		}
 		if !errors.Is(err, ErrFenced) {
-			w.setReachable(false, operation, err)
+			w.setReachable(false, operation, err, time.Since(begin))
 		}
 		sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
@@ -321,22 +347,27 @@
 	}
 }
 
-// setReachable records whether the last call of the store succeeded; a change is
-// logged and published to the other nodes.
-func (w *Watcher) setReachable(reachable bool, operation string, err error) {
+// setReachable records whether the last call of the store, which took the given time, succeeded;
+// a change is logged and published to the other nodes.
+func (w *Watcher) setReachable(reachable bool, operation string, err error, took time.Duration) {
 	w.mu.Lock()
 	changed := w.reachable != reachable
 	w.reachable = reachable
+	silence := time.Since(w.respondedAt)
+	if reachable {
+		w.respondedAt = time.Now()
+	}
 	w.mu.Unlock()
 	if !changed {
 		return
 	}
 	w.fleet.SetStoreReachable(reachable)
 	if reachable {
-		w.log.Info().Str("dependency", "store").Str("call", operation).Msg("dependency reachable")
+		w.log.Info().Str("dependency", "store").Str("call", operation).Int64("store-age-ms", silence.Milliseconds()).Msg("dependency reachable")
 		return
 	}
-	w.log.Warn().Str("dependency", "store").Str("call", operation).Err(err).Msg("dependency unreachable")
+	w.log.Warn().Str("dependency", "store").Str("call", operation).Err(err).
+		Int64("took-ms", took.Milliseconds()).Int64("store-age-ms", silence.Milliseconds()).Msg("dependency unreachable")
 }
 
 // listNodes passes the records of the nodes on, and reports whether this node was among
@@ -399,7 +430,30 @@
 	reachable := w.reachable
 	w.mu.Unlock()
 	readers := w.fleet.Readers()
-	return !reachable || len(readers) == 0 || readers[0] == w.self
+	reader := !reachable || len(readers) == 0 || readers[0] == w.self
+	w.logReader(reader, reachable, readers)
+	return reader
+}
+
+// logReader logs that this node becomes the reader, and why, or that another one does.
+func (w *Watcher) logReader(reader, reachable bool, readers []string) {
+	w.mu.Lock()
+	changed := reader != w.reader
+	since := time.Since(w.readerSince)
+	if changed {
+		w.reader = reader
+		w.readerSince = time.Now()
+	}
+	w.mu.Unlock()
+	if !changed {
+		return
+	}
+	line := w.log.Info().Int64("after-ms", since.Milliseconds()).Bool("store-reachable", reachable).Strs("readers", readers)
+	if reader {
+		line.Msg("this node reads the store")
+		return
+	}
+	line.Msg("another node reads the store")
 }
 
 // poll waits for new records of the operator and applies the newest configuration
