--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -27,6 +27,7 @@
 	"fuchsiapier/internal/mesh/dgram"
 	"fuchsiapier/internal/mesh/peers"
 	"fuchsiapier/internal/node/entry"
+	"fuchsiapier/internal/node/fetch"
 	"fuchsiapier/internal/node/gate"
 	"fuchsiapier/internal/node/remote"
 	"fuchsiapier/internal/node/stats"
@@ -117,8 +118,8 @@
 	// milliseconds, 0 if it is unknown.
 	targetStartedAt atomic.Int64
 	// leaving is set when the shutdown has begun.
-	leaving       atomic.Bool
-	fetchSchedule fetchSchedule
+	leaving atomic.Bool
+	fetcher *fetch.Fetcher
 	// started is set once all components exist; datagrams of other nodes that arrive before
 	// are dropped.
 	started atomic.Bool
@@ -252,7 +253,7 @@
 	}
 	a.peers = peers.New(self, send,
 		peers.WithOnChange(a.peerChanged),
-		peers.WithOnNewerConfig(a.fetchRules),
+		peers.WithOnNewerConfig(func(from peers.Node) { a.fetcher.Hear(from) }),
 		peers.WithOnNewerEpoch(func(from peers.Node) { a.watcher.HearEpoch(from.StoreEpoch, from.Name) }),
 		peers.WithCrashEntries(a.crashTracker.entries, a.crashTracker.merge),
 		peers.WithTokenGranter(a.grantTokens),
@@ -299,6 +300,7 @@
 	)
 	a.watcher = watcher
 	a.tree.Cleanup(stop)
+	a.fetcher = fetch.New(configuration{agent: a}, a.links, a.peers.View, fetch.WithLog(a.log), fetch.WithOnFailed(a.stats.CountFailedFetch))
 	return nil
 }
 
@@ -441,34 +443,6 @@
 	a.peers.Update(timer.Now(), true, func(n *peers.Node) { n.Rules = r.Version() })
 }
 
-// fetchRules fetches and applies the configuration of a node that has a newer one,
-// now or at the time that the schedule sets.
-func (a *Agent) fetchRules(from peers.Node) {
-	a.watcher.Hear(from.Rules, from.Name)
-	if r := a.watcher.Current(); r != nil && r.Version() >= from.Rules {
-		return
-	}
-	fetch, retryIn := a.fetchSchedule.begin(time.Now(), from, a.peers.View())
-	if retryIn > 0 {
-		time.AfterFunc(retryIn, func() {
-			a.fetchSchedule.startScheduled()
-			a.fetchRules(from)
-		})
-	}
-	if !fetch {
-		return
-	}
-	defer a.fetchSchedule.done()
-	begin := time.Now()
-	raw, err := a.links.FetchRules(from)
-	if err != nil {
-		a.stats.CountFailedFetch()
-		a.log.Warn().Err(err).Str("from", from.Name).Int64("version", from.Rules).Int64("took-ms", time.Since(begin).Milliseconds()).Msg("configuration fetch failed")
-		return
-	}
-	a.watcher.Offer(raw, watch.FromPeer, from.Name)
-}
-
 // targetChanged publishes a new state of the target to the other nodes. The counts of
 // its calls are reset if the target has restarted, since the previous process made them.
 func (a *Agent) targetChanged(s gate.State) {
--- a/internal/node/agent/fetch.go
+++ b/internal/node/fetch/schedule.go
@@ -1,4 +1,4 @@
-package agent
+package fetch
 
 import (
 	"sync"
@@ -17,10 +17,10 @@
 	keeperDelay = 300 * time.Millisecond
 )
 
-// fetchSchedule decides when a newer configuration is fetched from another node: at
+// schedule decides when a newer configuration is fetched from another node: at
 // once from a node of the local failure domain, after a delay from other domains. One
 // fetch is in flight at a time.
-type fetchSchedule struct {
+type schedule struct {
 	mu sync.Mutex
 	// inFlight is set while a fetch runs.
 	inFlight bool
@@ -34,13 +34,13 @@
 // begin reports whether the configuration of a node is to be fetched now; if so, done
 // must be called afterwards. Otherwise retryIn is the time after which begin is to be
 // called again, 0 if a fetch is in flight or a later attempt is scheduled already.
-func (f *fetchSchedule) begin(now time.Time, from peers.Node, view *peers.View) (fetch bool, retryIn time.Duration) {
+func (f *schedule) begin(now time.Time, from peers.Node, view *peers.View) (fetch bool, retryIn time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.inFlight {
 		return false, 0
 	}
-	remaining := fetchDelay(from, view) - now.Sub(f.delayStart(now, from))
+	remaining := delay(from, view) - now.Sub(f.delayStart(now, from))
 	if remaining <= 0 {
 		f.inFlight = true
 		return true, 0
@@ -53,7 +53,7 @@
 }
 
 // done records that the fetch that begin allowed has ended.
-func (f *fetchSchedule) done() {
+func (f *schedule) done() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.inFlight = false
@@ -61,7 +61,7 @@
 
 // startScheduled records that the scheduled attempt begins, so that another one can be
 // scheduled.
-func (f *fetchSchedule) startScheduled() {
+func (f *schedule) startScheduled() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.scheduled = false
@@ -71,7 +71,7 @@
 // learned of the first of a series of newer versions. A later version restarts the delay
 // only after readerDelay and keeperDelay have passed, so that frequent changes don't
 // postpone a fetch. f.mu must be held.
-func (f *fetchSchedule) delayStart(now time.Time, from peers.Node) time.Time {
+func (f *schedule) delayStart(now time.Time, from peers.Node) time.Time {
 	if f.version == 0 || from.Rules > f.version && now.Sub(f.delayedSince) > readerDelay+keeperDelay {
 		f.version = from.Rules
 		f.delayedSince = now
@@ -79,11 +79,11 @@
 	return f.delayedSince
 }
 
-// fetchDelay returns how long to wait before the configuration of a node is fetched:
+// delay returns how long to wait before the configuration of a node is fetched:
 // not at all for a node of the local domain. Before a fetch from another domain, the
 // nodes of the local domain get time to obtain the configuration: readerDelay if one of
 // them reaches the store, and keeperDelay more if this node is not the keeper.
-func fetchDelay(from peers.Node, view *peers.View) time.Duration {
+func delay(from peers.Node, view *peers.View) time.Duration {
 	if from.Domain == view.Self().Domain {
 		return 0
 	}
--- a/internal/node/agent/fetch_test.go
+++ b/internal/node/fetch/schedule_test.go
@@ -1,4 +1,4 @@
-package agent
+package fetch
 
 import (
 	"testing"
@@ -26,12 +26,12 @@
 // store.
 func TestConfigurationFetchPrefersLocalDomain(t *testing.T) {
 	now := time.Now()
-	begin := func(f *fetchSchedule, at time.Duration, from peers.Node, view *peers.View) bool {
+	begin := func(f *schedule, at time.Duration, from peers.Node, view *peers.View) bool {
 		fetch, _ := f.begin(now.Add(at), from, view)
 		return fetch
 	}
 	Convey("A configuration is fetched from the local domain at once, one fetch at a time", t, func() {
-		var f fetchSchedule
+		var f schedule
 		view := peers.NewView(testNode("a", "d1", true), []peers.Node{testNode("b", "d1", true)})
 		So(begin(&f, 0, testNode("b", "d1", true), view), ShouldBeTrue)
 		So(begin(&f, 0, testNode("b", "d1", true), view), ShouldBeFalse)
@@ -39,7 +39,7 @@
 		So(begin(&f, 0, testNode("b", "d1", true), view), ShouldBeTrue)
 	})
 	Convey("From another domain only after the delay for the local reader, even if no further heartbeat arrives", t, func() {
-		var f fetchSchedule
+		var f schedule
 		view := peers.NewView(testNode("a", "d1", true), nil)
 		remote := testNode("z", "d2", true)
 		fetch, retryIn := f.begin(now, remote, view)
@@ -52,7 +52,7 @@
 		So(begin(&f, readerDelay, remote, view), ShouldBeTrue)
 	})
 	Convey("At once if no node of the local domain reaches the store", t, func() {
-		var f fetchSchedule
+		var f schedule
 		view := peers.NewView(testNode("a", "d1", false), nil)
 		So(begin(&f, 0, testNode("z", "d2", true), view), ShouldBeTrue)
 	})
