node/watch: a lost poll of the store is noticed in time, and readers poll in turn

What callers saw: requests handled by an old configuration although a newer one had been confirmed 3 s before, on all nodes at once.

Cause: the only sign of a change was the response to a long poll of 4 s whose loss shows after 5.5 s; after each change all readers polled at the same moment, so one short silence of the store lost all polls. Class: a liveness timeout above the freshness bound, and one common phase for what is meant to be redundant.

Change: the readers of the failure domains take turns, so that some response of the store is due every 0.7 s whatever the number of domains, and the calls stay as many as before. A response may take 0.6 s beyond the wait, 3 times its last excess if that is more, at most 2 s. A call without a response closes all connections to the store. A node that loses the store says so at once. A poll that began when more domains polled is ended early.

--- a/internal/mesh/peers/view.go
+++ b/internal/mesh/peers/view.go
@@ -167,6 +167,22 @@
 	return false
 }
 
+// ReadingDomains returns the number of failure domains in which a live node recently reached the
+// platform's store, the local one included in any case, and the place of the local one among
+// them in the order of their names, from 0.
+func (v *View) ReadingDomains() (place, domains int) {
+	reading := map[string]bool{v.self.Domain: true}
+	for _, n := range v.nodes {
+		if n.Store && !n.Leaving && !reading[n.Domain] {
+			reading[n.Domain] = true
+			if n.Domain < v.self.Domain {
+				place++
+			}
+		}
+	}
+	return place, len(reading)
+}
+
 // Suspect reports whether the heartbeats of the named node are overdue.
 func (v *View) Suspect(node string) bool {
 	return v.suspects[node]
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -490,6 +490,7 @@
 	a.gate.Tick()
 	a.publishTarget(a.gate.State(), false)
 	a.peers.Tick(now)
+	a.watcher.Tick()
 	a.leases.Tick()
 	a.retryTokens.Tick()
 	if time.Since(a.lastTrim) < trimPeriod {
@@ -548,9 +549,16 @@
 	return f.agent.peers.View().Readers()
 }
 
-// SetStoreReachable publishes to the other nodes whether this node reaches the store.
+// SetStoreReachable publishes to the other nodes whether this node reaches the store. One that
+// does not is replaced as the reader at once.
 func (f fleet) SetStoreReachable(reachable bool) {
-	f.agent.peers.Update(timer.Now(), false, func(n *peers.Node) { n.Store = reachable })
+	f.agent.peers.Update(timer.Now(), !reachable, func(n *peers.Node) { n.Store = reachable })
+}
+
+// ReadingDomains returns the number of failure domains in which a live node reaches the store, and
+// the place of the local one among them.
+func (f fleet) ReadingDomains() (place, domains int) {
+	return f.agent.peers.View().ReadingDomains()
 }
 
 // SetStoreEpoch publishes the epoch of the store to the other nodes.
--- a/internal/node/model/node_test.go
+++ b/internal/node/model/node_test.go
@@ -18,9 +18,8 @@
 const (
 	// tickPeriod is that of node/agent.
 	tickPeriod = 100 * time.Millisecond
-	// callTimeout and readMargin are those of the client of the store.
+	// callTimeout is that of the client of the store.
 	callTimeout = 2 * time.Second
-	readMargin  = 1500 * time.Millisecond
 	// fetchTimeout bounds a fetch, and the acknowledgement timeouts a fetch over a connection that
 	// is silent, as in node/remote.
 	fetchTimeout          = 1 * time.Second
@@ -137,6 +136,7 @@
 			case <-time.After(tickPeriod):
 				n.waitWhileFrozen()
 				n.peers.Tick(f.instant())
+				n.watcher.Tick()
 			}
 		}
 	}()
@@ -294,9 +294,11 @@
 func (v view) Readers() []string { return v.node.peers.View().Readers() }
 
 func (v view) SetStoreReachable(reachable bool) {
-	v.node.peers.Update(v.node.fleet.instant(), false, func(n *peers.Node) { n.Store = reachable })
+	v.node.peers.Update(v.node.fleet.instant(), !reachable, func(n *peers.Node) { n.Store = reachable })
 }
 
+func (v view) ReadingDomains() (place, domains int) { return v.node.peers.View().ReadingDomains() }
+
 func (v view) SetStoreEpoch(epoch int64) {
 	v.node.peers.Update(v.node.fleet.instant(), true, func(n *peers.Node) { n.StoreEpoch = epoch })
 }
--- a/internal/node/model/store_test.go
+++ b/internal/node/model/store_test.go
@@ -121,6 +121,15 @@
 	return !c.node.cutFromStore() && !c.store.silenced.After(c.opened)
 }
 
+// Reconnect closes the connections.
+func (c *storeClient) Reconnect() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.opened = time.Time{}
+	close(c.reset)
+	c.reset = make(chan struct{})
+}
+
 // lose waits until a call without an answer times out or its connection is closed, and closes it.
 func (c *storeClient) lose(deadline time.Time, reset <-chan struct{}) error {
 	select {
@@ -191,8 +200,8 @@
 
 // Read is a long poll. A store that falls silent keeps the polls that have arrived, and answers
 // them when it is back.
-func (c *storeClient) Read(_ string, from watch.Position, wait time.Duration) ([]watch.Record, watch.Position, error) {
-	deadline := time.Now().Add(wait + readMargin)
+func (c *storeClient) Read(_ string, from watch.Position, wait, timeout time.Duration) ([]watch.Record, watch.Position, error) {
+	deadline := time.Now().Add(timeout)
 	found, reset := c.begin()
 	switch found {
 	case silent:
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -49,11 +49,15 @@
 	// Read is a long poll: it waits at most for wait until the topic has records at or
 	// after the offset of from, and returns them with the position of the next call, whose
 	// epoch is that of the response. The error is ErrTrimmed if the store has no records at
-	// the offset, since they were deleted or it was restored from a copy without them.
-	Read(topic string, from Position, wait time.Duration) ([]Record, Position, error)
+	// the offset, since they were deleted or it was restored from a copy without them, and
+	// ErrUnknown if the response takes longer than timeout.
+	Read(topic string, from Position, wait, timeout time.Duration) ([]Record, Position, error)
 	// Put writes a record and returns the epoch in which the store has taken it; an empty
 	// value deletes the key. The error is ErrFenced if the order does not allow the write.
 	Put(topic string, r Record, order Order) (epoch int64, err error)
+	// Reconnect closes all connections, since one of them may be dead without a sign. The error
+	// of the calls in flight is ErrUnknown.
+	Reconnect()
 }
 
 // Fleet gives the watcher access to the other nodes.
@@ -69,6 +73,9 @@
 	Learn(records []Record)
 	// Size returns the number of live nodes.
 	Size() int
+	// ReadingDomains returns the number of failure domains in which a live node reaches the store,
+	// the local one included, and the place of the local one among them, from 0.
+	ReadingDomains() (place, domains int)
 	// NewestConfig returns the newest version of the configuration that live nodes have in
 	// force, 0 if none has any, and which of the other nodes have been heard.
 	NewestConfig() (version int64, heard Heard)
@@ -89,8 +96,6 @@
 type Parser func(data []byte) (content rules.Content, findings, err error)
 
 const (
-	// pollWait is the longest time that one long poll waits for a record.
-	pollWait = 4 * time.Second
 	// coalesceDelay is the pause after a change, so that a series of changes is read
 	// in few calls. It is far below the time within which a change must be in force.
 	coalesceDelay = 200 * time.Millisecond
@@ -159,8 +164,14 @@
 	heard int64
 	// unnamed says that the last response named no epoch although an earlier one did.
 	unnamed bool
-	// upToDate says that the last call has confirmed position. It is used by run alone.
-	upToDate bool
+	// upToDate says that the last call has confirmed position, and staggered that the last poll
+	// waited for a full period. Both are used by run alone.
+	upToDate  bool
+	staggered bool
+	// polling is the poll in flight.
+	polling poll
+	// margin is how long a response may take beyond the wait that a poll asks for.
+	margin time.Duration
 }
 
 // Option configures a Watcher.
@@ -218,8 +229,9 @@
 		position: Position{
 			Offset: -1,
 		},
-		epoch: EpochUnknown,
-		order: newOrder(self, time.Now()),
+		epoch:  EpochUnknown,
+		order:  newOrder(self, time.Now()),
+		margin: minMargin,
 	}
 	for _, o := range options {
 		o(w)
@@ -308,14 +320,15 @@
 		case w.needsNewest():
 			w.retry(ctx, "read configuration", readNewest)
 		default:
-			w.retry(ctx, "poll", w.poll)
+			w.retry(ctx, "poll", w.pollOnce)
 		}
 	}
 }
 
 // retry repeats a call of the store with exponential backoff and jitter until it
 // succeeds or the context ends. It gives up on ErrTrimmed, after which the newest
-// records are read again.
+// records are read again, and on errPollEnded. A call without a response leaves all
+// connections in doubt.
 func (w *Watcher) retry(ctx context.Context, operation string, f func() error) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
@@ -329,6 +342,12 @@
 			w.resetPosition()
 			return
 		}
+		if errors.Is(err, errPollEnded) {
+			return
+		}
+		if errors.Is(err, ErrUnknown) {
+			w.store.Reconnect()
+		}
 		if !errors.Is(err, ErrFenced) {
 			w.setReachable(false, operation, err, time.Since(begin))
 		}
@@ -456,37 +475,6 @@
 	line.Msg("another node reads the store")
 }
 
-// poll waits for new records of the operator and applies the newest configuration
-// among them. The first poll after a pause does not wait, since a store that was restored
-// meanwhile shows it only in a response.
-func (w *Watcher) poll() error {
-	w.mu.Lock()
-	from, known := w.position, w.epoch
-	w.mu.Unlock()
-	wait := pollWait
-	if !w.upToDate {
-		wait = 0
-	}
-	w.upToDate = false
-	records, next, err := w.store.Read(w.topics.Operator, from, wait)
-	if err != nil {
-		return err
-	}
-	w.observeEpoch(next.Epoch, known, "poll")
-	if next.Epoch != from.Epoch {
-		return ErrTrimmed
-	}
-	w.upToDate = true
-	w.mu.Lock()
-	w.position = next
-	w.mu.Unlock()
-	w.applyNewest(records)
-	if len(records) > 0 {
-		time.Sleep(coalesceDelay)
-	}
-	return nil
-}
-
 // applyNewest applies the newest usable configuration of a batch of records, if it
 // is newer than the one in force.
 func (w *Watcher) applyNewest(records []Record) {
--- a/internal/node/watch/watch_test.go
+++ b/internal/node/watch/watch_test.go
@@ -65,7 +65,7 @@
 	}
 }
 
-func (s *fakeStore) Read(topic string, position Position, wait time.Duration) ([]Record, Position, error) {
+func (s *fakeStore) Read(topic string, position Position, wait, _ time.Duration) ([]Record, Position, error) {
 	from := position.Offset
 	s.withLock(func() { s.reading++ })
 	defer s.withLock(func() { s.reading-- })
@@ -117,6 +117,9 @@
 	return s.epoch, nil
 }
 
+// Reconnect has no effect: calls of this store have no connections.
+func (s *fakeStore) Reconnect() {}
+
 // write writes a record as another writer does.
 func (s *fakeStore) write(topic, key string, value []byte) {
 	_, _ = s.Put(topic, Record{
@@ -197,6 +200,8 @@
 
 func (f *fakeFleet) Size() int { return f.size }
 
+func (f *fakeFleet) ReadingDomains() (place, domains int) { return 0, 1 }
+
 func (f *fakeFleet) NewestConfig() (int64, Heard) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
