node/fetch, node/watch: a node that knows of a newer configuration gets it

Cause: a node asked one other node, over a pooled connection, for 1 s, and again at a next heartbeat, perhaps the same one; it never turned to the store. Class: a single source without an alternative, and no end-to-end bound.

Change: node/fetch asks the nodes that have it by preference, a further one after 0.25 s without a response, up to three at once, each over a new connection; after 0.7 to 0.9 s the node reads the store itself, whether it is the reader or not, and again after pauses that double. A reader ends its poll if others have had a newer version for 0.2 s. While a node of a failure domain does not reach the store, two nodes read it. A poll's response may take 0.4 s (0.6 before) beyond its wait, and the readers' polls end 0.5 s apart (0.7).

--- a/internal/mesh/peers/view.go
+++ b/internal/mesh/peers/view.go
@@ -167,6 +167,16 @@
 	return false
 }
 
+// StoreInDoubt reports whether a live node of the local domain does not reach the platform's store.
+func (v *View) StoreInDoubt() bool {
+	for _, n := range v.nodes {
+		if n.Domain == v.self.Domain && !n.Store && !n.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // ReadingDomains returns the number of failure domains in which a live node recently reached the
 // platform's store, the local one included in any case, and the place of the local one among
 // them in the order of their names, from 0.
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -300,7 +300,8 @@
 	)
 	a.watcher = watcher
 	a.tree.Cleanup(stop)
-	a.fetcher = fetch.New(configuration{agent: a}, a.links, a.peers.View, fetch.WithLog(a.log), fetch.WithOnFailed(a.stats.CountFailedFetch))
+	a.fetcher, stop = fetch.New(configuration{agent: a}, a.links, a.peers.View, fetch.WithLog(a.log), fetch.WithOnFailed(a.stats.CountFailedFetch))
+	a.tree.Cleanup(stop)
 	return nil
 }
 
@@ -555,6 +556,11 @@
 	f.agent.peers.Update(timer.Now(), !reachable, func(n *peers.Node) { n.Store = reachable })
 }
 
+// StoreInDoubt reports whether a live node of the local domain does not reach the store.
+func (f fleet) StoreInDoubt() bool {
+	return f.agent.peers.View().StoreInDoubt()
+}
+
 // ReadingDomains returns the number of failure domains in which a live node reaches the store, and
 // the place of the local one among them.
 func (f fleet) ReadingDomains() (place, domains int) {
--- a/internal/node/agent/config.go
+++ b/internal/node/agent/config.go
@@ -17,7 +17,13 @@
 	c.agent.watcher.Hear(version, from)
 }
 
-// Offer applies an encoded configuration of another node if it is newer.
-func (c configuration) Offer(data []byte, from string) {
-	c.agent.watcher.Offer(data, watch.FromPeer, from)
+// Offer applies an encoded configuration of another node if it is newer, and reports whether it
+// did.
+func (c configuration) Offer(data []byte, from string) bool {
+	return c.agent.watcher.Offer(data, watch.FromPeer, from)
+}
+
+// CheckStore has the newest configuration read from the store.
+func (c configuration) CheckStore(reason string) {
+	c.agent.watcher.CheckStore(reason)
 }
--- a/internal/node/remote/remote.go
+++ b/internal/node/remote/remote.go
@@ -34,8 +34,6 @@
 	crossRegionMargin = 70 * time.Millisecond
 	// RulesPath is the path at which a node serves the configuration in force on it.
 	RulesPath = "/fuchsiapier/rules"
-	// RulesTimeout bounds fetching the configuration from another node.
-	RulesTimeout = 1 * time.Second
 )
 
 // Links holds the connections to other nodes. It is safe for concurrent use.
@@ -168,15 +166,14 @@
 var errNoRules = errors.New("peer served no configuration")
 
 // FetchRules returns the encoded configuration in force on another node. It fails
-// if the node does not respond within RulesTimeout or serves no configuration.
-func (l *Links) FetchRules(from peers.Node) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), RulesTimeout)
-	defer cancel()
+// if the node does not respond before ctx ends or serves no configuration. It opens a new
+// connection, since open ones may be dead without a sign.
+func (l *Links) FetchRules(ctx context.Context, from peers.Node) ([]byte, error) {
 	request := &msg.Request{
 		Method: fasthttp.MethodGet,
 		URI:    RulesPath,
 	}
-	answer, err := l.client(&from).Do(ctx, request, nil)
+	answer, err := l.client(&from).DoOnNewConn(ctx, request, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/watch/poll.go
+++ b/internal/node/watch/poll.go
@@ -9,13 +9,16 @@
 	// checkInterval is the mean interval between the responses of the store to the readers of
 	// all failure domains. It bounds how long a disturbance that loses all polls stays hidden,
 	// and is far below the time within which a change must be in force.
-	checkInterval = 700 * time.Millisecond
+	checkInterval = 500 * time.Millisecond
 	// maxPollWait is the longest time that one long poll waits for a record.
 	maxPollWait = 8 * time.Second
 	// minMargin and maxMargin bound how long a response may take beyond the wait that a poll asks
-	// for: a round trip between regions is 60 ms, a store may take some hundred milliseconds.
-	minMargin = 600 * time.Millisecond
+	// for: a round trip between regions is 60 ms, a slow store takes some hundred milliseconds.
+	minMargin = 400 * time.Millisecond
 	maxMargin = 2 * time.Second
+	// pollDoubt is how long after other nodes a poll may bring a newer configuration: a round trip
+	// between regions and some delay.
+	pollDoubt = 200 * time.Millisecond
 	// marginFactor is how many times as long as the last response the next one may take.
 	marginFactor = 3
 )
@@ -108,28 +111,45 @@
 }
 
 // Tick ends a poll that waits longer than it should by now, since fewer failure domains
-// poll than when it began. It is to be called several times a second.
+// poll than when it began, and one that has not brought a newer configuration which other nodes
+// have. It is to be called several times a second.
 func (w *Watcher) Tick() {
 	_, domains := w.fleet.ReadingDomains()
 	w.mu.Lock()
-	overdue := w.polling.wait > 0 && time.Since(w.polling.began) > pollPeriod(domains)+w.margin
+	p := w.polling
+	overdue := p.wait > 0 && time.Since(p.began) > pollPeriod(domains)+w.margin
+	missed := p.wait > 0 && w.newest.version > w.version() && p.began.Before(w.newest.since) && time.Since(w.newest.since) > pollDoubt
 	w.mu.Unlock()
-	if overdue {
+	switch {
+	case overdue:
 		w.endPollEarly("fewer failure domains poll")
+	case missed:
+		w.endPollEarly("other nodes have a newer configuration")
+	}
+}
+
+// CheckStore has the newest configuration read from the store at once, in the background: by the
+// poll of a reader, which it ends, or by any other node.
+func (w *Watcher) CheckStore(reason string) {
+	if w.endPollEarly(reason) {
+		return
 	}
+	w.log.Info().Str("reason", reason).Msg("newest configuration is read from the store")
+	signal(w.checks)
 }
 
-// endPollEarly ends the poll in flight, if there is one that waits, so that the store is read at
-// once over a new connection.
-func (w *Watcher) endPollEarly(reason string) {
+// endPollEarly ends the poll in flight, so that the store is read at once over a new connection.
+// It reports whether there is one that waits.
+func (w *Watcher) endPollEarly(reason string) bool {
 	w.mu.Lock()
 	p := w.polling
 	waits := p.wait > 0 && !p.ended
 	w.polling.ended = waits
 	w.mu.Unlock()
 	if !waits {
-		return
+		return false
 	}
 	w.log.Info().Str("reason", reason).Int64("poll-ms", time.Since(p.began).Milliseconds()).Int64("wait-ms", p.wait.Milliseconds()).Msg("poll of the store ended early")
 	w.store.Reconnect()
+	return true
 }
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -44,8 +44,8 @@
 // record of each key (log compaction).
 type Store interface {
 	// Newest returns the newest record of each key and the position at which to
-	// continue with Read.
-	Newest(topic string) ([]Record, Position, error)
+	// continue with Read. The error is ErrUnknown if a response takes longer than timeout.
+	Newest(topic string, timeout time.Duration) ([]Record, Position, error)
 	// Read is a long poll: it waits at most for wait until the topic has records at or
 	// after the offset of from, and returns them with the position of the next call, whose
 	// epoch is that of the response. The error is ErrTrimmed if the store has no records at
@@ -65,6 +65,8 @@
 	// Readers returns the names of the live nodes of the local domain that may read the
 	// store. The first one is to read it, the others are its replacements in order.
 	Readers() []string
+	// StoreInDoubt reports whether a live node of the local domain does not reach the store.
+	StoreInDoubt() bool
 	// SetStoreReachable tells the other nodes whether this node reaches the store.
 	SetStoreReachable(reachable bool)
 	// SetStoreEpoch tells the other nodes the epoch of the store that this node has observed.
@@ -100,7 +102,14 @@
 	// in few calls. It is far below the time within which a change must be in force.
 	coalesceDelay = 200 * time.Millisecond
 	// readerCheckPeriod is how often a node checks whether it is the reader of its domain.
-	readerCheckPeriod = 150 * time.Millisecond
+	readerCheckPeriod = 100 * time.Millisecond
+	// doubtReaders is how many nodes of a failure domain read the store while one of its nodes
+	// does not reach it.
+	doubtReaders = 2
+	// listTimeout bounds listing the nodes, and newestTimeout reading the configuration, unless
+	// the store has lately taken longer.
+	listTimeout   = 2 * time.Second
+	newestTimeout = 1 * time.Second
 	// minBackoff and maxBackoff bound the exponential backoff between attempts of a
 	// store call, before jitter.
 	minBackoff = 200 * time.Millisecond
@@ -168,6 +177,8 @@
 	// waited for a full period. Both are used by run alone.
 	upToDate  bool
 	staggered bool
+	// checks is signalled when the newest configuration is to be read at once.
+	checks chan struct{}
 	// polling is the poll in flight.
 	polling poll
 	// margin is how long a response may take beyond the wait that a poll asks for.
@@ -226,6 +237,7 @@
 		records:     ownRecords{},
 		queued:      make(chan struct{}, 1),
 		restored:    make(chan struct{}, 1),
+		checks:      make(chan struct{}, 1),
 		position: Position{
 			Offset: -1,
 		},
@@ -316,7 +328,10 @@
 		case !w.isReader():
 			// Another node reads meanwhile.
 			w.upToDate = false
-			sleep(ctx, readerCheckPeriod)
+			if w.sleep(ctx, readerCheckPeriod) {
+				w.store.Reconnect()
+				w.retry(ctx, "read configuration", readNewest)
+			}
 		case w.needsNewest():
 			w.retry(ctx, "read configuration", readNewest)
 		default:
@@ -351,11 +366,25 @@
 		if !errors.Is(err, ErrFenced) {
 			w.setReachable(false, operation, err, time.Since(begin))
 		}
-		sleep(ctx, backoff/2+rand.N(backoff))
+		w.sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
+// sleep waits for a duration, until CheckStore is called, which it reports, or until the context
+// ends.
+func (w *Watcher) sleep(ctx context.Context, d time.Duration) (check bool) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-w.checks:
+		return true
+	}
+	return false
+}
+
 // sleep waits for a duration or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -393,7 +422,7 @@
 // them.
 func (w *Watcher) listNodes() (listed bool, err error) {
 	known := w.Epoch()
-	records, position, err := w.store.Newest(w.topics.Nodes)
+	records, position, err := w.store.Newest(w.topics.Nodes, listTimeout)
 	if err != nil {
 		return false, err
 	}
@@ -425,8 +454,10 @@
 }
 
 func (w *Watcher) readNewest(ctx context.Context) error {
-	known := w.Epoch()
-	records, end, err := w.store.Newest(w.topics.Operator)
+	w.mu.Lock()
+	known, timeout := w.epoch, max(newestTimeout, w.margin)
+	w.mu.Unlock()
+	records, end, err := w.store.Newest(w.topics.Operator, timeout)
 	if err != nil {
 		return err
 	}
@@ -443,13 +474,18 @@
 // isReader reports whether this node is to read the store: because it is the first
 // of the domain's readers, because none is known, or because it does not reach the
 // store. In the last case it keeps trying, since no other node can tell when this one
-// reaches the store again.
+// reaches the store again. While a node of the domain does not reach the store, which may not
+// respond to the first reader either, the second one reads it too.
 func (w *Watcher) isReader() bool {
 	w.mu.Lock()
 	reachable := w.reachable
 	w.mu.Unlock()
 	readers := w.fleet.Readers()
-	reader := !reachable || len(readers) == 0 || readers[0] == w.self
+	count := 1
+	if w.fleet.StoreInDoubt() {
+		count = doubtReaders
+	}
+	reader := !reachable || len(readers) == 0 || slices.Contains(readers[:min(count, len(readers))], w.self)
 	w.logReader(reader, reachable, readers)
 	return reader
 }
--- a/internal/pipe/frame/client.go
+++ b/internal/pipe/frame/client.go
@@ -39,9 +39,21 @@
 // Its errors match those of package httpc. ErrNotSent also covers a node that
 // sent a go away frame instead of a response: it has not read the request.
 func (c *Client) Do(ctx context.Context, r *msg.Request, extra []byte) (*Answer, error) {
+	return c.do(ctx, c.Exchange, r, extra)
+}
+
+// DoOnNewConn is like Do, but opens a new connection.
+func (c *Client) DoOnNewConn(ctx context.Context, r *msg.Request, extra []byte) (*Answer, error) {
+	return c.do(ctx, c.ExchangeOnNewConn, r, extra)
+}
+
+// exchanger calls a function with a connection, as Pool.Exchange does.
+type exchanger func(ctx context.Context, f func(c *httpc.Conn) (keep bool, err error)) error
+
+func (c *Client) do(ctx context.Context, exchange exchanger, r *msg.Request, extra []byte) (*Answer, error) {
 	fields := requestFields(r, extra)
 	var resp *Answer
-	err := c.Exchange(ctx, func(conn *httpc.Conn) (bool, error) {
+	err := exchange(ctx, func(conn *httpc.Conn) (bool, error) {
 		var err error
 		resp, err = c.exchange(conn, fields, r.Body)
 		return err == nil, err
--- a/internal/pipe/httpc/pool.go
+++ b/internal/pipe/httpc/pool.go
@@ -185,6 +185,21 @@
 	if err != nil {
 		return err
 	}
+	return p.exchangeOn(ctx, c, f)
+}
+
+// ExchangeOnNewConn is like Exchange, but always opens a connection: an idle one may be dead
+// without a sign.
+func (p *Pool) ExchangeOnNewConn(ctx context.Context, f func(c *Conn) (keep bool, err error)) error {
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	return p.exchangeOn(ctx, c, f)
+}
+
+// exchangeOn calls f with a connection.
+func (p *Pool) exchangeOn(ctx context.Context, c *Conn, f func(c *Conn) (keep bool, err error)) error {
 	stop := context.AfterFunc(ctx, func() {
 		_ = c.Close()
 	})
