node/watch: a node that was suspended reads the store at once

Class: a time-out that does not count the time it is meant to bound.

Change: Tick takes the boot-time clock; after a gap of more than 1 s a reader ends its poll, any other node reads the newest configuration once.

Test: 'A node that was suspended reads the store at once' failed without the change (version 3, 5 expected).

--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -491,7 +491,7 @@
 	a.gate.Tick()
 	a.publishTarget(a.gate.State(), false)
 	a.peers.Tick(now)
-	a.watcher.Tick()
+	a.watcher.Tick(now)
 	a.leases.Tick()
 	a.retryTokens.Tick()
 	if time.Since(a.lastTrim) < trimPeriod {
--- a/internal/node/model/node_test.go
+++ b/internal/node/model/node_test.go
@@ -150,7 +150,7 @@
 		case <-time.After(tickPeriod):
 			p.node.waitWhileFrozen()
 			p.peers.Tick(p.node.fleet.instant())
-			p.watcher.Tick()
+			p.watcher.Tick(p.node.fleet.instant())
 		}
 	}
 }
--- a/internal/node/watch/poll.go
+++ b/internal/node/watch/poll.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"fuchsiapier/internal/base/timer"
 )
 
 const (
@@ -19,6 +21,9 @@
 	// pollDoubt is how long after other nodes a poll may bring a newer configuration: a round trip
 	// between regions and some delay.
 	pollDoubt = 200 * time.Millisecond
+	// suspendedAfter is the time between two calls of Tick after which the node is taken to have been
+	// suspended in between.
+	suspendedAfter = 1 * time.Second
 	// marginFactor is how many times as long as the last response the next one may take.
 	marginFactor = 3
 )
@@ -112,15 +117,21 @@
 
 // Tick ends a poll that waits longer than it should by now, since fewer failure domains
 // poll than when it began, and one that has not brought a newer configuration which other nodes
-// have. It is to be called several times a second.
-func (w *Watcher) Tick() {
+// have. After a suspension of the node the store is read at once: a lost poll would show later than
+// otherwise, since its time-out does not count the suspension. Tick is to be called several times
+// a second.
+func (w *Watcher) Tick(now timer.Instant) {
 	_, domains := w.fleet.ReadingDomains()
 	w.mu.Lock()
+	suspended := w.lastTick != 0 && now.Sub(w.lastTick) > suspendedAfter
+	w.lastTick = now
 	p := w.polling
 	overdue := p.wait > 0 && time.Since(p.began) > pollPeriod(domains)+w.margin
 	missed := p.wait > 0 && w.newest.version > w.version() && p.began.Before(w.newest.since) && time.Since(w.newest.since) > pollDoubt
 	w.mu.Unlock()
 	switch {
+	case suspended:
+		w.CheckStore("the node was suspended")
 	case overdue:
 		w.endPollEarly("fewer failure domains poll")
 	case missed:
--- a/internal/node/watch/poll_test.go
+++ b/internal/node/watch/poll_test.go
@@ -82,7 +82,7 @@
 			case <-done:
 				return
 			case <-time.After(100 * time.Millisecond):
-				w.Tick()
+				w.Tick(f.now())
 			}
 		}
 	}()
@@ -154,6 +154,10 @@
 		version, _ := versionAfter(checkInterval+minMargin, 12, func(_ *Watcher, f *fakeFleet) { f.setDomains(0, 1) })
 		So(version, ShouldEqual, 5)
 	})
+	Convey("A node that was suspended reads the store at once, although its clock has stood still", t, func() {
+		version, _ := versionAfter(2*pollDoubt, 12, func(_ *Watcher, f *fakeFleet) { f.suspend(suspendedAfter) })
+		So(version, ShouldEqual, 5)
+	})
 	Convey("A reader that is alone notices a lost poll soon after its wait", t, func() {
 		version, reachable := versionAfter(checkInterval+maxMargin+minBackoff, 1, func(*Watcher, *fakeFleet) {})
 		So(version, ShouldEqual, 5)
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"fuchsiapier/internal/base/timer"
 	"fuchsiapier/internal/conf/rules"
 )
 
@@ -181,6 +182,8 @@
 	checks chan struct{}
 	// polling is the poll in flight.
 	polling poll
+	// lastTick is when Tick was last called, by a clock that counts suspensions.
+	lastTick timer.Instant
 	// margin is how long a response may take beyond the wait that a poll asks for.
 	margin time.Duration
 }
--- a/internal/node/watch/watch_test.go
+++ b/internal/node/watch/watch_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"fuchsiapier/internal/base/timer"
 	"fuchsiapier/internal/conf/rules"
 )
 
@@ -182,6 +183,22 @@
 	domains int
 	// inDoubt is the result of StoreInDoubt.
 	inDoubt bool
+	// suspended is how long the node was suspended so far.
+	suspended time.Duration
+}
+
+// suspend makes the node's boot-time clock go on by d, while its steady clock stands still.
+func (f *fakeFleet) suspend(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.suspended += d
+}
+
+// now returns the boot-time clock of the node.
+func (f *fakeFleet) now() timer.Instant {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return timer.Instant(time.Duration(time.Now().UnixNano()) + f.suspended)
 }
 
 func (f *fakeFleet) Readers() []string {
