lab/store, test: the soak makes open connections to the store go silent

Once in each run, between two changes of the configuration, of which the second withdraws a key that must not work 5 s later. The time is drawn apart, so that the other faults of a seed stay as they were.

--- a/lab/store/store.go
+++ b/lab/store/store.go
@@ -5,6 +5,7 @@
 package store
 
 import (
+	"context"
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
@@ -13,6 +14,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync"
 	"time"
@@ -49,8 +51,14 @@
 	epoch int64
 	// appended is closed and replaced at each append, which wakes the long polls.
 	appended chan struct{}
+	// opened counts the connections. Those up to the number silenced are silent.
+	opened   int
+	silenced int
 }
 
+// connKey is the key of a connection's number in the context of its requests.
+type connKey struct{}
+
 // topic is the log of a topic. A record is one byte with the length of its key,
 // the key and the value; an empty value deletes the key.
 type topic struct {
@@ -102,6 +110,12 @@
 	s.server = &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: 5 * time.Second,
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.opened++
+			return context.WithValue(ctx, connKey{}, s.opened)
+		},
 	}
 	go func() { _ = s.server.Serve(l) }()
 	return s, func() { _ = s.server.Close() }, nil
@@ -119,6 +133,36 @@
 	s.fault = f
 }
 
+// Silence makes the open connections silent for good: no request on them is answered, nor one that
+// waits for records, and they are not closed. New ones work.
+func (s *Store) Silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silenced = s.opened
+}
+
+// isSilent reports whether the connection of a request is silent.
+func (s *Store) isSilent(r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	number, _ := r.Context().Value(connKey{}).(int)
+	return number <= s.silenced
+}
+
+// answer calls a handler and sends its response, unless the connection is silent by then.
+func (s *Store) answer(h http.HandlerFunc, w http.ResponseWriter, r *http.Request) {
+	response := httptest.NewRecorder()
+	h(response, r)
+	if s.isSilent(r) {
+		<-r.Context().Done()
+		return
+	}
+	maps.Copy(w.Header(), response.Header())
+	w.WriteHeader(response.Code)
+	// The client may be gone by now.
+	_, _ = w.Write(response.Body.Bytes())
+}
+
 // Calls returns the number of requests that have arrived, failed ones included.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -300,6 +344,10 @@
 		fault := s.fault
 		w.Header().Set("Store-Era", strconv.FormatInt(s.epoch, 10))
 		s.mu.Unlock()
+		if s.isSilent(r) {
+			<-r.Context().Done()
+			return
+		}
 		switch fault {
 		case Unavailable:
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -317,7 +365,7 @@
 			// The server closes the connection without a response and logs nothing.
 			panic(http.ErrAbortHandler)
 		default:
-			h(w, r)
+			s.answer(h, w, r)
 		}
 	}
 }
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -80,11 +80,13 @@
 	log         []string
 	// copies are earlier contents of the store.
 	copies []store.Copy
+	// silenceAfter is when the open connections to the store go silent.
+	silenceAfter time.Duration
 }
 
 // TestSoak guards against broken promises where faults overlap: restarts, kills and pauses of
-// nodes, limits and departures that servers name in responses, outages and restores of the store
-// and changes of the configuration, beside callers that use their connections until they end.
+// nodes, limits and departures that servers name in responses, outages and restores of the store,
+// connections to it that go silent, and changes of the configuration, beside callers that use their connections until they end.
 func TestSoak(t *testing.T) {
 	for _, seed := range soakSeeds(t) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
@@ -130,6 +132,8 @@
 		spans:   map[*vm][]span{},
 		leaving: map[*vm]bool{},
 		version: 1,
+		// Not drawn from random, so that the other faults of a seed stay as they were.
+		silenceAfter: time.Duration(rand.New(rand.NewPCG(seed, 1)).Int64N(int64(soakTime / 2))),
 	}
 	s.copies = []store.Copy{s.initial, s.store.Copy()}
 	for _, v := range s.vms {
@@ -148,6 +152,7 @@
 			callers.Go(func() { s.call(v, i, done) })
 		}
 	}
+	s.silenceConnections()
 	for end := time.Now().Add(soakTime); time.Now().Before(end); {
 		s.fault()
 		time.Sleep(time.Duration(s.random.Int64N(int64(2 * soakStep))))
@@ -203,6 +208,18 @@
 	}
 }
 
+// silenceConnections lets the open connections to the store go silent once, in the middle of the
+// other faults, and changes the configuration just before and after.
+func (s *soak) silenceConnections() {
+	s.faults.Go(func() {
+		time.Sleep(s.silenceAfter)
+		s.changeConfiguration(false)
+		s.note("the open connections to the store go silent")
+		s.store.Silence()
+		s.changeConfiguration(true)
+	})
+}
+
 // restoreStore takes the store away for a while, after which it comes back from an earlier copy, which
 // may be that of before the first node. The operator writes what was lost again, at times late.
 func (s *soak) restoreStore(outage time.Duration) {
