--- a/internal/node/fetch/plan_test.go
+++ b/internal/node/fetch/plan_test.go
@@ -80,6 +80,7 @@
 		}
 		_, ok, _ := p.source(at, nodes, view)
 		So(ok, ShouldBeFalse)
+		So(len(p.inFlight), ShouldBeBetween, 1, len(nodes))
 	})
 	Convey("After a failure another node is asked at once, and the same one after a pause that grows", t, func() {
 		p := newPlan(now)
