node/watch: closing the connections to the store counts as no loss of it

Change: reconnect marks the poll as ended by the node and counts; a call that fails over it is repeated without a word. Test: 'A write that ends with it is repeated, and the store does not count as unreachable' (reachable true, false, true without the change). Options and the choice of readers move to files of their own, pause is no longer called sleep.

--- a/internal/node/watch/poll.go
+++ b/internal/node/watch/poll.go
@@ -16,7 +16,7 @@
 	maxPollWait = 8 * time.Second
 	// minMargin and maxMargin bound how long a response may take beyond the wait that a poll asks
 	// for: a round trip between regions is 60 ms, a slow store takes some hundred milliseconds.
-	minMargin = 400 * time.Millisecond
+	minMargin = 500 * time.Millisecond
 	maxMargin = 2 * time.Second
 	// pollDoubt is how long after other nodes a poll may bring a newer configuration: a round trip
 	// between regions and some delay.
@@ -154,13 +154,21 @@
 func (w *Watcher) endPollEarly(reason string) bool {
 	w.mu.Lock()
 	p := w.polling
-	waits := p.wait > 0 && !p.ended
-	w.polling.ended = waits
 	w.mu.Unlock()
-	if !waits {
+	if p.wait == 0 || p.ended {
 		return false
 	}
 	w.log.Info().Str("reason", reason).Int64("poll-ms", time.Since(p.began).Milliseconds()).Int64("wait-ms", p.wait.Milliseconds()).Msg("poll of the store ended early")
-	w.store.Reconnect()
+	w.reconnect()
 	return true
 }
+
+// reconnect closes all connections to the store, since one of them may be dead without a sign. A
+// poll in flight ends, and begins again.
+func (w *Watcher) reconnect() {
+	w.mu.Lock()
+	w.polling.ended = true
+	w.mu.Unlock()
+	w.reconnects.Add(1)
+	w.store.Reconnect()
+}
--- a/internal/node/watch/poll_test.go
+++ b/internal/node/watch/poll_test.go
@@ -21,6 +21,8 @@
 		lost bool
 		// closed is closed with the connections.
 		closed chan struct{}
+		// putLost says that the next write gets no response.
+		putLost bool
 		// waits are the waits that the polls have asked for.
 		waits []time.Duration
 	}
@@ -49,6 +51,18 @@
 	return nil, position, ErrUnknown
 }
 
+func (s *deafStore) Put(topic string, r Record, order Order) (int64, error) {
+	s.deaf.Lock()
+	lost, closed := s.deaf.putLost, s.deaf.closed
+	s.deaf.putLost = false
+	s.deaf.Unlock()
+	if lost {
+		<-closed
+		return EpochUnknown, ErrUnknown
+	}
+	return s.fakeStore.Put(topic, r, order)
+}
+
 func (s *deafStore) Reconnect() {
 	s.deaf.Lock()
 	defer s.deaf.Unlock()
@@ -150,6 +164,31 @@
 		So(version, ShouldEqual, 5)
 		So(reachable, ShouldResemble, []bool{true})
 	})
+	Convey("A write that ends with it is repeated, and the store does not count as unreachable", t, func() {
+		var stored []byte
+		var reachable []bool
+		synctest.Test(t, func(*testing.T) {
+			s, f := newDeafStore(), &fakeFleet{heard: AllHeard, readers: []string{"n1"}}
+			f.setDomains(11, 12)
+			w, stop := startTicking(s, f)
+			s.losePolls()
+			time.Sleep(maxPollWait / 4)
+			s.deaf.Lock()
+			s.deaf.putLost = true
+			s.deaf.Unlock()
+			w.Store(Record{
+				Key:   "n1/x",
+				Value: []byte("1"),
+			})
+			time.Sleep(time.Second)
+			w.Hear(5, "n2")
+			time.Sleep(2*pollDoubt + 2*minBackoff)
+			stored, reachable = s.value("nodes", "n1/x"), f.reachableSoFar()
+			stop()
+		})
+		So(string(stored), ShouldEqual, "1")
+		So(reachable, ShouldResemble, []bool{true})
+	})
 	Convey("A reader ends a poll that began when more failure domains polled", t, func() {
 		version, _ := versionAfter(checkInterval+minMargin, 12, func(_ *Watcher, f *fakeFleet) { f.setDomains(0, 1) })
 		So(version, ShouldEqual, 5)
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -102,11 +102,6 @@
 	// coalesceDelay is the pause after a change, so that a series of changes is read
 	// in few calls. It is far below the time within which a change must be in force.
 	coalesceDelay = 200 * time.Millisecond
-	// readerCheckPeriod is how often a node checks whether it is the reader of its domain.
-	readerCheckPeriod = 100 * time.Millisecond
-	// doubtReaders is how many nodes of a failure domain read the store while one of its nodes
-	// does not reach it.
-	doubtReaders = 2
 	// listTimeout bounds listing the nodes, and newestTimeout reading the configuration, unless
 	// the store has lately taken longer.
 	listTimeout   = 2 * time.Second
@@ -180,6 +175,8 @@
 	staggered bool
 	// checks is signalled when the newest configuration is to be read at once.
 	checks chan struct{}
+	// reconnects counts how often this node has closed the connections to the store.
+	reconnects atomic.Int64
 	// polling is the poll in flight.
 	polling poll
 	// lastTick is when Tick was last called, by a clock that counts suspensions.
@@ -188,40 +185,6 @@
 	margin time.Duration
 }
 
-// Option configures a Watcher.
-type Option func(*Watcher)
-
-// WithOnApply registers a function that is called with each configuration after it
-// was applied.
-func WithOnApply(f func(*rules.Rules)) Option {
-	return func(w *Watcher) {
-		w.onApply = f
-	}
-}
-
-// WithOnCaughtUp registers a function that is called when a newer configuration that other nodes
-// told of is in force, with the time since the node first heard of one.
-func WithOnCaughtUp(f func(time.Duration)) Option {
-	return func(w *Watcher) {
-		w.onCaughtUp = f
-	}
-}
-
-// WithLog sets the logger; without it nothing is logged.
-func WithLog(log zerolog.Logger) Option {
-	return func(w *Watcher) {
-		w.log = log
-	}
-}
-
-// WithOwnKeys names the keys of the records that earlier processes of this node may have stored
-// with Store. They are kept in the store like those of this process.
-func WithOwnKeys(keys ...string) Option {
-	return func(w *Watcher) {
-		w.ownKeys = keys
-	}
-}
-
 // New starts a watcher and returns it with a function that stops it without waiting
 // for a call of the store that is in flight. record is stored under the node's name
 // self, so that other nodes can find this one.
@@ -331,8 +294,8 @@
 		case !w.isReader():
 			// Another node reads meanwhile.
 			w.upToDate = false
-			if w.sleep(ctx, readerCheckPeriod) {
-				w.store.Reconnect()
+			if w.pause(ctx, readerCheckPeriod) {
+				w.reconnect()
 				w.retry(ctx, "read configuration", readNewest)
 			}
 		case w.needsNewest():
@@ -350,7 +313,7 @@
 func (w *Watcher) retry(ctx context.Context, operation string, f func() error) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		begin := time.Now()
+		begin, reconnects := time.Now(), w.reconnects.Load()
 		err := f()
 		if err == nil {
 			w.setReachable(true, operation, nil, time.Since(begin))
@@ -363,20 +326,24 @@
 		if errors.Is(err, errPollEnded) {
 			return
 		}
-		if errors.Is(err, ErrUnknown) {
-			w.store.Reconnect()
-		}
-		if !errors.Is(err, ErrFenced) {
+		switch {
+		case errors.Is(err, ErrFenced):
+		case errors.Is(err, ErrUnknown) && w.reconnects.Load() != reconnects:
+			// This node has closed the connection.
+		case errors.Is(err, ErrUnknown):
+			w.reconnect()
+			w.setReachable(false, operation, err, time.Since(begin))
+		default:
 			w.setReachable(false, operation, err, time.Since(begin))
 		}
-		w.sleep(ctx, backoff/2+rand.N(backoff))
+		w.pause(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
-// sleep waits for a duration, until CheckStore is called, which it reports, or until the context
+// pause waits for a duration, until CheckStore is called, which it reports, or until the context
 // ends.
-func (w *Watcher) sleep(ctx context.Context, d time.Duration) (check bool) {
+func (w *Watcher) pause(ctx context.Context, d time.Duration) (check bool) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -474,46 +441,6 @@
 	return nil
 }
 
-// isReader reports whether this node is to read the store: because it is the first
-// of the domain's readers, because none is known, or because it does not reach the
-// store. In the last case it keeps trying, since no other node can tell when this one
-// reaches the store again. While a node of the domain does not reach the store, which may not
-// respond to the first reader either, the second one reads it too.
-func (w *Watcher) isReader() bool {
-	w.mu.Lock()
-	reachable := w.reachable
-	w.mu.Unlock()
-	readers := w.fleet.Readers()
-	count := 1
-	if w.fleet.StoreInDoubt() {
-		count = doubtReaders
-	}
-	reader := !reachable || len(readers) == 0 || slices.Contains(readers[:min(count, len(readers))], w.self)
-	w.logReader(reader, reachable, readers)
-	return reader
-}
-
-// logReader logs that this node becomes the reader, and why, or that another one does.
-func (w *Watcher) logReader(reader, reachable bool, readers []string) {
-	w.mu.Lock()
-	changed := reader != w.reader
-	since := time.Since(w.readerSince)
-	if changed {
-		w.reader = reader
-		w.readerSince = time.Now()
-	}
-	w.mu.Unlock()
-	if !changed {
-		return
-	}
-	line := w.log.Info().Int64("after-ms", since.Milliseconds()).Bool("store-reachable", reachable).Strs("readers", readers)
-	if reader {
-		line.Msg("this node reads the store")
-		return
-	}
-	line.Msg("another node reads the store")
-}
-
 // applyNewest applies the newest usable configuration of a batch of records, if it
 // is newer than the one in force.
 func (w *Watcher) applyNewest(records []Record) {
