--- a/internal/node/watch/poll_test.go
+++ b/internal/node/watch/poll_test.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -227,6 +228,34 @@
 	})
 }
 
+// TestCheckStoreBesideWrites guards against a check of the store that gets lost since the store
+// rejects the writes of the node meanwhile.
+func TestCheckStoreBesideWrites(t *testing.T) {
+	Convey("Each check reads the store while a write is repeated", t, func() {
+		var checks, reads int
+		synctest.Test(t, func(*testing.T) {
+			s, f := newDeafStore(), &fakeFleet{heard: AllHeard, readers: []string{"n0", "n1"}}
+			w, stop := startTicking(s, f)
+			s.withLock(func() { s.session = math.MaxInt64 })
+			w.Store(Record{
+				Key:   "n1/x",
+				Value: []byte("1"),
+			})
+			time.Sleep(10 * time.Second)
+			before := 0
+			s.withLock(func() { before = s.lists })
+			for range 50 {
+				w.CheckStore("test")
+				checks++
+				time.Sleep(time.Second + 37*time.Millisecond)
+			}
+			s.withLock(func() { reads = s.lists - before })
+			stop()
+		})
+		So(reads, ShouldEqual, checks)
+	})
+}
+
 // TestSecondReader guards against a failure domain that is late since the store does not respond to
 // its readers, which find that out one after the other.
 func TestSecondReader(t *testing.T) {
--- a/internal/node/watch/records.go
+++ b/internal/node/watch/records.go
@@ -118,7 +118,7 @@
 		if !ok {
 			break
 		}
-		w.retry(ctx, "write record", func() error { return w.write(r, revision) })
+		w.retry(ctx, "write record", sleep, func() error { return w.write(r, revision) })
 	}
 	return written
 }
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -280,7 +280,8 @@
 func (w *Watcher) run(ctx context.Context) {
 	wasListed := make(chan bool, 1)
 	go w.keepRecords(ctx, wasListed)
-	w.retry(ctx, "list nodes", func() error {
+	wait := func(ctx context.Context, d time.Duration) { w.pause(ctx, d) }
+	w.retry(ctx, "list nodes", wait, func() error {
 		listed, err := w.listNodes()
 		if err == nil {
 			wasListed <- listed
@@ -288,7 +289,7 @@
 		return err
 	})
 	readNewest := func() error { return w.readNewest(ctx) }
-	w.retry(ctx, "read configuration", readNewest)
+	w.retry(ctx, "read configuration", wait, readNewest)
 	for ctx.Err() == nil {
 		switch {
 		case !w.isReader():
@@ -296,12 +297,12 @@
 			w.upToDate = false
 			if w.pause(ctx, readerCheckPeriod) {
 				w.reconnect()
-				w.retry(ctx, "read configuration", readNewest)
+				w.retry(ctx, "read configuration", wait, readNewest)
 			}
 		case w.needsNewest():
-			w.retry(ctx, "read configuration", readNewest)
+			w.retry(ctx, "read configuration", wait, readNewest)
 		default:
-			w.retry(ctx, "poll", w.pollOnce)
+			w.retry(ctx, "poll", wait, w.pollOnce)
 		}
 	}
 }
@@ -309,8 +310,8 @@
 // retry repeats a call of the store with exponential backoff and jitter until it
 // succeeds or the context ends. It gives up on ErrTrimmed, after which the newest
 // records are read again, and on errPollEnded. A call without a response leaves all
-// connections in doubt.
-func (w *Watcher) retry(ctx context.Context, operation string, f func() error) {
+// connections in doubt. wait waits between two attempts.
+func (w *Watcher) retry(ctx context.Context, operation string, wait func(context.Context, time.Duration), f func() error) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		begin, reconnects := time.Now(), w.reconnects.Load()
@@ -336,13 +337,13 @@
 		default:
 			w.setReachable(false, operation, err, time.Since(begin))
 		}
-		w.pause(ctx, backoff/2+rand.N(backoff))
+		wait(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
 // pause waits for a duration, until CheckStore is called, which it reports, or until the context
-// ends.
+// ends. Only run may call it, which reads the store then.
 func (w *Watcher) pause(ctx context.Context, d time.Duration) (check bool) {
 	t := time.NewTimer(d)
 	defer t.Stop()
