--- a/internal/node/model/config_test.go
+++ b/internal/node/model/config_test.go
@@ -13,6 +13,16 @@
 	run(t, scenarios[1:2], 1, 20)
 }
 
+// Guards against a store that is only slow and taken for silent, so that nobody reads it.
+func TestChangeWhileTheStoreIsSlow(t *testing.T) {
+	run(t, []scenario{
+		{
+			name: "slow-store",
+			run:  slowStore,
+		},
+	}, 1, 20)
+}
+
 // Guards against a change that is in force too late since the store refuses all readers.
 func TestChangeWhileReadersAreRefused(t *testing.T) {
 	run(t, scenarios[2:3], 1, 20)
--- a/internal/node/model/model_test.go
+++ b/internal/node/model/model_test.go
@@ -76,6 +76,21 @@
 	f.store.mu.Unlock()
 }
 
+// slowStore makes the store answer late, as on the sites.
+func slowStore(f *fleet) {
+	d := f.span()
+	slow := storeDelay * time.Duration(50+f.random(25))
+	f.note("store slow by %v for %v", slow, d)
+	f.disturb("", d)
+	set := func(slow time.Duration) {
+		f.store.mu.Lock()
+		defer f.store.mu.Unlock()
+		f.store.slow = slow
+	}
+	set(slow)
+	time.AfterFunc(d, func() { set(0) })
+}
+
 // readersRefused makes the store refuse all readers and some other nodes. Nobody is excused.
 func readersRefused(f *fleet) {
 	how := []refusal{busy, silent}[f.random(2)]
@@ -187,14 +202,38 @@
 }
 
 var scenarios = []scenario{
-	{"silent-store", silentStore},
-	{"silent-connections", silentConns},
-	{"readers-refused", readersRefused},
-	{"cut-one-way", cutOneWay},
-	{"domain-alone", domainAlone},
-	{"readers-squeezed", readersSqueezed},
-	{"frozen", frozen},
-	{"readers-killed", killed},
+	{
+		name: "silent-store",
+		run:  silentStore,
+	},
+	{
+		name: "silent-connections",
+		run:  silentConns,
+	},
+	{
+		name: "readers-refused",
+		run:  readersRefused,
+	},
+	{
+		name: "cut-one-way",
+		run:  cutOneWay,
+	},
+	{
+		name: "domain-alone",
+		run:  domainAlone,
+	},
+	{
+		name: "readers-squeezed",
+		run:  readersSqueezed,
+	},
+	{
+		name: "frozen",
+		run:  frozen,
+	},
+	{
+		name: "readers-killed",
+		run:  killed,
+	},
 }
 
 // sizes are the numbers of failure domains and of nodes in each, by the sites.
--- a/internal/node/model/node_test.go
+++ b/internal/node/model/node_test.go
@@ -57,8 +57,6 @@
 	mu sync.Mutex
 	// frozen is closed when the node goes on after it was frozen, nil while it runs.
 	frozen chan struct{}
-	// noStore says that the node is cut off from the store.
-	noStore bool
 	// bytesPerSecond is the throughput of the node's link.
 	bytesPerSecond int
 	// transfers is the number of configurations that it sends or receives.
@@ -85,12 +83,6 @@
 	return regionDelay
 }
 
-func (n *node) cutFromStore() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.noStore
-}
-
 // waitWhileFrozen blocks while the node is frozen.
 func (n *node) waitWhileFrozen() {
 	n.mu.Lock()
--- a/internal/node/model/store_test.go
+++ b/internal/node/model/store_test.go
@@ -20,8 +20,7 @@
 	silent
 )
 
-// storeDelay is the time that the store takes to answer, and operatorDelay from a change to its
-// confirmation.
+// storeDelay is the time that the store takes to answer.
 const storeDelay = 4 * time.Millisecond
 
 // store is a simulated store that all nodes share.
@@ -101,7 +100,7 @@
 	c.store.calls++
 	deaf := c.store.silenced.After(opened) || opened.Equal(c.store.silenced)
 	c.store.mu.Unlock()
-	if deaf || c.node.cutFromStore() {
+	if deaf {
 		return silent, reset
 	}
 	return c.store.state(c.node.name), reset
@@ -118,7 +117,7 @@
 	defer c.mu.Unlock()
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
-	return !c.node.cutFromStore() && !c.store.silenced.After(c.opened)
+	return !c.store.silenced.After(c.opened)
 }
 
 // Reconnect closes the connections.
