--- a/internal/node/model/model_test.go
+++ b/internal/node/model/model_test.go
@@ -21,10 +21,7 @@
 )
 
 // scenario is a disturbance that begins at the time of its call.
-type scenario struct {
-	name string
-	run  func(f *fleet)
-}
+type scenario func(f *fleet)
 
 // some returns n random nodes.
 func (f *fleet) some(n int) []*node {
@@ -185,8 +182,8 @@
 	}
 }
 
-// killed kills the readers and starts them again.
-func killed(f *fleet) {
+// readersKilled kills the readers and starts them again.
+func readersKilled(f *fleet) {
 	nodes := f.readers()
 	f.note("%d readers killed", len(nodes))
 	for _, n := range nodes {
@@ -201,39 +198,16 @@
 	}
 }
 
+// scenarios are all disturbances.
 var scenarios = []scenario{
-	{
-		name: "silent-store",
-		run:  silentStore,
-	},
-	{
-		name: "silent-connections",
-		run:  silentConns,
-	},
-	{
-		name: "readers-refused",
-		run:  readersRefused,
-	},
-	{
-		name: "cut-one-way",
-		run:  cutOneWay,
-	},
-	{
-		name: "domain-alone",
-		run:  domainAlone,
-	},
-	{
-		name: "readers-squeezed",
-		run:  readersSqueezed,
-	},
-	{
-		name: "frozen",
-		run:  frozen,
-	},
-	{
-		name: "readers-killed",
-		run:  killed,
-	},
+	silentStore,
+	silentConns,
+	readersRefused,
+	cutOneWay,
+	domainAlone,
+	readersSqueezed,
+	frozen,
+	readersKilled,
 }
 
 // sizes are the numbers of failure domains and of nodes in each, by the sites.
@@ -264,7 +238,7 @@
 		for range disturbances {
 			s := from[f.random(len(from))]
 			begin := settleTime + time.Duration(f.random(7000))*time.Millisecond
-			at(begin, func() { s.run(f) })
+			at(begin, func() { s(f) })
 			// Readers poll again 0.2 s after a change.
 			at(begin-time.Duration(f.random(400))*time.Millisecond, func() { f.next(&version) })
 		}
