--- a/review/2/main.go
+++ b/review/2/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"os"
 	"time"
 
 	"review/lab"
@@ -17,6 +18,11 @@
 	late = 2 * time.Second
 	// serves is how long the server serves after the confirmation: drain_ms and some seconds.
 	serves = 12 * time.Second
+	// With OUTAGE=1 the store rejects calls for outage, from outageLead before the confirmation, and the
+	// node is killed outageKill after it.
+	outage     = 4500 * time.Millisecond
+	outageLead = 1 * time.Second
+	outageKill = 1 * time.Second
 )
 
 func main() { lab.Main(play) }
@@ -37,10 +43,18 @@
 	vm := f.VMAt("tulcea-a", "landings")
 	server := vm.Server
 	report := server.Report("ready")
+	delay := killDelay
+	withOutage := f.Trouble && os.Getenv("OUTAGE") == "1"
+	if withOutage {
+		f.Logf("the store rejects calls")
+		f.Store.Refuse(true)
+		time.Sleep(outageLead)
+		delay = outageKill
+	}
 	acked := server.Delete()
 	disturbed := acked
 	if f.Trouble {
-		time.Sleep(time.Until(acked.Add(killDelay)))
+		time.Sleep(time.Until(acked.Add(delay)))
 		vm.Kill()
 		if err := vm.Restart(); err != nil {
 			return false, err
@@ -49,6 +63,12 @@
 	}
 	time.Sleep(time.Until(acked.Add(late)))
 	f.Logf("a status report that %s sent before it left arrives late: answer %d", server.ID, server.Send(report))
+	if withOutage {
+		time.Sleep(time.Until(acked.Add(outage - outageLead)))
+		f.Store.Refuse(false)
+		disturbed = time.Now()
+		f.Logf("the store serves again")
+	}
 	time.Sleep(time.Until(acked.Add(serves)))
 	server.Exit()
 	time.Sleep(time.Second)
--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -115,7 +115,7 @@
 			case <-done:
 				return
 			case <-t.C:
-				if v.isOut() {
+				if v.Out() {
 					continue
 				}
 				wg.Add(1)
--- a/review/lab/fleet.go
+++ b/review/lab/fleet.go
@@ -47,6 +47,8 @@
 	// there are none; the server is back after CrashTime.
 	CrashBody string
 	CrashTime time.Duration
+	// Garble is the share of the answers that faulty servers spoil.
+	Garble float64
 
 	start   time.Time
 	root    string
@@ -330,7 +332,8 @@
 	}
 }
 
-func (v *VM) isOut() bool {
+// Out reports whether clients send the machine no new work.
+func (v *VM) Out() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.out
--- a/review/lab/judge.go
+++ b/review/lab/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strings"
 	"time"
 )
 
@@ -149,3 +150,24 @@
 	f.Logf("LOST: %d requests of %s were passed on to a sound server and their connection closed without an answer (3 are allowed), %d were answered", lost, vm.Name, answered)
 	return lost > 3
 }
+
+// JudgeMixed checks the part of MIXED on successes: each bears the server's proof and its whole
+// body.
+func (f *Fleet) JudgeMixed() (broken bool) {
+	successes, wrong := 0, 0
+	for _, a := range f.Answers() {
+		if a.Status < 200 || a.Status > 299 {
+			continue
+		}
+		successes++
+		if a.Signature == "proof-of-"+a.Attempt && strings.HasSuffix(a.Body, " ran "+a.Attempt) {
+			continue
+		}
+		wrong++
+		if wrong <= 3 {
+			f.Logf("MIXED: %s was answered %d, signature %q, body %q", a.Attempt, a.Status, a.Signature, a.Body)
+		}
+	}
+	f.Logf("%d requests were answered with success, %d of them without the server's signature or its whole body", successes, wrong)
+	return wrong > 0
+}
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"hash/crc32"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -28,8 +30,10 @@
 
 // Run is a request that a server has begun to work on.
 type Run struct {
-	At      time.Time
-	Ended   time.Time
+	At    time.Time
+	Ended time.Time
+	// Left is when the connection of the request was closed.
+	Left    time.Time
 	Attempt string
 	Caller  string
 	Tenant  string
@@ -52,6 +56,7 @@
 	seq    int64
 	state  string
 	silent bool
+	faulty bool
 	gone   bool
 	// Acked is when the node confirmed that the server is draining or gone.
 	acked time.Time
@@ -235,7 +240,14 @@
 		<-s.done
 		panic(http.ErrAbortHandler)
 	}
-	time.Sleep(s.work)
+	select {
+	case <-time.After(s.work):
+	case <-r.Context().Done():
+		s.mu.Lock()
+		run.Left = time.Now()
+		s.mu.Unlock()
+		return
+	}
 	s.mu.Lock()
 	gone := s.gone
 	if !gone {
@@ -245,8 +257,16 @@
 	if gone {
 		panic(http.ErrAbortHandler)
 	}
+	answer := fmt.Sprintf("%s ran %s", s.ID, attempt)
+	if s.isFaulty() && rand.Float64() < s.vm.fleet.Garble {
+		// Some bytes of the head are overwritten, in the name of the field with the proof.
+		s.vm.fleet.Record("spoil", "%s", attempt)
+		w.Header().Set(strings.Replace(HeaderSignature, "Signature", "Qwbxrzznk", 1), "proof-of-"+attempt)
+		_, _ = fmt.Fprint(w, answer)
+		return
+	}
 	w.Header().Set(HeaderSignature, "proof-of-"+attempt)
-	_, _ = fmt.Fprintf(w, "%s ran %s", s.ID, attempt)
+	_, _ = fmt.Fprint(w, answer)
 }
 
 // crash ends the server as it begins to run a request, and boots it again under a new id after
@@ -258,3 +278,16 @@
 		s.vm.fleet.Logf("server does not boot: %v", err)
 	}
 }
+
+// SetFaulty makes the server spoil some of its answers, or ends that.
+func (s *Server) SetFaulty(faulty bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faulty = faulty
+}
+
+func (s *Server) isFaulty() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faulty
+}
--- a/review/lab/sites.go
+++ b/review/lab/sites.go
@@ -1,5 +1,7 @@
 package lab
 
+import "sync"
+
 // AddSite adds a server of both services in each of three zones, one in each region.
 func (f *Fleet) AddSite() {
 	for _, zone := range []string{"constanta-a", "tulcea-a", "mangalia-a"} {
@@ -15,9 +17,11 @@
 		stops = append(stops, each(v)...)
 	}
 	return func() {
+		var wg sync.WaitGroup
 		for _, s := range stops {
-			s()
+			wg.Go(s)
 		}
+		wg.Wait()
 	}
 }
 
