--- a/review/1/main.go
+++ b/review/1/main.go
@@ -20,8 +20,7 @@
 func main() { lab.Main(play) }
 
 func play(f *lab.Fleet) (bool, error) {
-	zones := []string{"constanta-a", "tulcea-a", "mangalia-a", "constanta-b", "tulcea-b", "mangalia-b"}
-	f.AddWholeSite(zones)
+	f.AddWholeSite(lab.Zones)
 	f.Store.Put("keyed.op", "config", lab.Config(7, 0, 0))
 	body := "harvest 0,0"
 	if f.Trouble {
@@ -39,7 +38,7 @@
 		q := lab.RecordRequest()
 		q.Path = lab.PathRecord + "7"
 		q.Body = []byte(body)
-		vm := f.VMAt(zones[i%len(zones)], "quota")
+		vm := f.VMAt(lab.Zones[i%len(lab.Zones)], "quota")
 		a := vm.Send(q)
 		f.Logf("arrival %d at %s: %s answered %d %s", i+1, vm.Name, a.Attempt, a.Status, a.Body)
 		time.Sleep(time.Until(a.Sent.Add(period)))
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,65 +1,36 @@
-// Command 4 shows what becomes of a server's draining when the time of day has jumped back
-// between two starts of the server.
+// Command 4 shows what a status report that names an unknown service does.
 package main
 
 import (
+	"encoding/json"
+	"net/http"
 	"time"
 
 	"review/lab"
 )
 
-const (
-	// ahead is how far the time of day of the machine is ahead for a while.
-	ahead = 2400 * time.Millisecond
-	// uptime is how long the server runs that starts meanwhile, downTime how long it is away.
-	uptime   = 1200 * time.Millisecond
-	downTime = 500 * time.Millisecond
-	id       = "i-7f3a91c2"
-	work     = 600 * time.Millisecond
-	// serves is how long the server serves after its draining is confirmed: drain_ms and some
-	// seconds.
-	serves = 6 * time.Second
-)
-
 func main() { lab.Main(play) }
 
 func play(f *lab.Fleet) (bool, error) {
 	f.AddSite()
 	f.Store.Put("keyed.op", "config", lab.Config(7, 0, 0))
-	// The server on this machine starts last, after all nodes.
-	vm := f.VMAt("tulcea-a", "landings")
-	vm.Later = true
-	if err := f.StartAll(work); err != nil {
+	if err := f.StartAll(20 * time.Millisecond); err != nil {
 		return false, err
 	}
 	stop := f.LoadAll(func(v *lab.VM) []func() {
-		return []func(){v.Load(100*time.Millisecond, lab.RecordRequest())}
+		return []func(){v.Load(100*time.Millisecond, lab.RecordRequest()), v.Load(100*time.Millisecond, lab.LookupRequest())}
 	})
-	time.Sleep(2 * time.Second)
-	born := time.Now()
+	time.Sleep(3 * time.Second)
+	vm := f.VMAt("tulcea-a", "landings")
 	if f.Trouble {
-		f.Logf("the time of day of %s is ahead by %d ms", vm.Name, ahead.Milliseconds())
-		born = born.Add(ahead)
-	}
-	first, err := vm.StartServer(id, born.UnixMilli(), work)
-	if err != nil {
-		return false, err
-	}
-	time.Sleep(uptime)
-	first.Exit()
-	time.Sleep(downTime)
-	f.Logf("the time of day of %s is right; the server starts again under its id", vm.Name)
-	second, err := vm.StartServer(id, time.Now().UnixMilli(), work)
-	if err != nil {
-		return false, err
+		body, _ := json.Marshal(map[string]any{
+			"service": "wuno96b", "address": vm.ServerAddr(), "zone": vm.Zone, "version": "v1", "slots": 64,
+			"state": "ready", "cold_left_ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
+		})
+		status := lab.Call(http.MethodPut, "http://"+vm.ControlAddr()+"/v1/instances/i-77aa01", body)
+		f.Logf("a status report of another writer, of the unknown service wuno96b, reaches %s: answer %d", vm.Name, status)
 	}
-	back := time.Now()
-	time.Sleep(10 * time.Second)
-	acked := second.Drain()
-	time.Sleep(serves)
-	second.Delete()
-	second.Exit()
-	time.Sleep(time.Second)
+	time.Sleep(6 * time.Second)
 	stop()
-	return f.JudgeDrain(second, acked, back), nil
+	return f.JudgeCaller(), nil
 }
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -1,66 +1,65 @@
-// Command 5 shows what a request with a large body, within the limits of the configuration, does
-// to the node that takes it from the client.
+// Command 5 shows what becomes of a server's draining when the time of day has jumped back
+// between two starts of the server.
 package main
 
 import (
-	"bytes"
-	"net/http"
 	"time"
 
 	"review/lab"
 )
 
 const (
-	// memoryMB is the memory of a machine, as most of the site's machines have.
-	memoryMB = 184
-	// largeBody is below max_body_bytes, which is 67108864; smallBody is a usual body.
-	largeBody = 67_000_000
-	smallBody = 6_000
-	// clients is how many clients on the machine keep a connection each.
-	clients = 20
+	// ahead is how far the time of day of the machine is ahead for a while.
+	ahead = 2000 * time.Millisecond
+	// uptime is how long the server runs that starts meanwhile, downTime how long it is away.
+	uptime   = 1200 * time.Millisecond
+	downTime = 500 * time.Millisecond
+	id       = "i-7f3a91c2"
+	work     = 600 * time.Millisecond
+	// serves is how long the server serves after its draining is confirmed: drain_ms and some
+	// seconds.
+	serves = 6 * time.Second
 )
 
 func main() { lab.Main(play) }
 
 func play(f *lab.Fleet) (bool, error) {
-	f.MemoryMB = memoryMB
 	f.AddSite()
 	f.Store.Put("keyed.op", "config", lab.Config(7, 0, 0))
-	if err := f.StartAll(400 * time.Millisecond); err != nil {
+	// The server on this machine starts last, after all nodes.
+	vm := f.VMAt("tulcea-a", "landings")
+	vm.Later = true
+	if err := f.StartAll(work); err != nil {
 		return false, err
 	}
-	vm := f.VMAt("tulcea-a", "quota")
-	stopLimit := f.LimitMemory()
-	done := make(chan struct{})
-	for range clients {
-		kept := &http.Client{Transport: &http.Transport{}}
-		go func() {
-			for {
-				select {
-				case <-done:
-					return
-				default:
-				}
-				q := lab.RecordRequest()
-				q.Kept = kept
-				if a := vm.Send(q); a.Status == 0 {
-					time.Sleep(500 * time.Millisecond)
-				}
-			}
-		}()
-	}
-	time.Sleep(3 * time.Second)
-	size := smallBody
+	stop := f.LoadAll(func(v *lab.VM) []func() {
+		return []func(){v.Load(100*time.Millisecond, lab.RecordRequest())}
+	})
+	time.Sleep(2 * time.Second)
+	born := time.Now()
 	if f.Trouble {
-		size = largeBody
+		f.Logf("the time of day of %s is ahead by %d ms", vm.Name, ahead.Milliseconds())
+		born = born.Add(ahead)
+	}
+	first, err := vm.StartServer(id, born.UnixMilli(), work)
+	if err != nil {
+		return false, err
+	}
+	time.Sleep(uptime)
+	first.Exit()
+	time.Sleep(downTime)
+	f.Logf("the time of day of %s is right; the server starts again under its id", vm.Name)
+	second, err := vm.StartServer(id, time.Now().UnixMilli(), work)
+	if err != nil {
+		return false, err
 	}
-	q := lab.RecordRequest()
-	q.Body = bytes.Repeat([]byte("x"), size)
-	q.Deadline = 5 * time.Second
-	a := vm.Send(q)
-	f.Logf("the request with a body of %d bytes is answered %d %s", size, a.Status, a.Err)
-	time.Sleep(5 * time.Second)
-	close(done)
-	stopLimit()
-	return f.JudgeLost(vm, a.Attempt), nil
+	back := time.Now()
+	time.Sleep(10 * time.Second)
+	acked := second.Drain()
+	time.Sleep(serves)
+	second.Delete()
+	second.Exit()
+	time.Sleep(time.Second)
+	stop()
+	return f.JudgeDrain(second, acked, back), nil
 }
--- a/review/lab/config.go
+++ b/review/lab/config.go
@@ -21,10 +21,19 @@
 
 // ConfigOf is Config with another name of the tenant.
 func ConfigOf(version int, tenant string, rate, burst float64) []byte {
+	return config(version, tenant, rate, burst, "quota")
+}
+
+// MovedConfig is Config with the idempotent route moved to another service.
+func MovedConfig(version int, service string) []byte {
+	return config(version, "pulo780", 0, 0, service)
+}
+
+func config(version int, tenant string, rate, burst float64, lookup string) []byte {
 	data, _ := json.Marshal(map[string]any{
 		"version": version,
 		"routes": []map[string]any{
-			{"name": "r-lookup", "host": Host, "path_prefix": PathLookup, "kind": "idempotent", "timeout_ms": 1500, "target_latency_ms": 1200, "priority": 2, "service": "quota", "max_attempts": 2, "public": false},
+			{"name": "r-lookup", "host": Host, "path_prefix": PathLookup, "kind": "idempotent", "timeout_ms": 1500, "target_latency_ms": 1200, "priority": 2, "service": lookup, "max_attempts": 2, "public": false},
 			{"name": "r-record", "host": Host, "path_prefix": PathRecord, "kind": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 1000, "priority": 0, "service": "landings", "max_attempts": 2, "public": false},
 		},
 		"services": []map[string]any{
