node/gate, node/agent: log and count crashes of the target and what is known of the requests that ran

Cause: the lines couldn't tell the hypotheses apart. Added: 'target crashed' with what showed it, how long ago the last response was lost and the requests that ran with their fingerprints; 'requests ran during a crash' and 'request suspected of crashing targets' with the node that the word came from; 'request that ran during crashes is sent to the target' with its standing; counters of crashes by evidence, exclusive runs, refusals, entries sent and received. No logic changed. go test ./internal/node/... ./internal/mesh/... ./internal/admit/...: passed.

--- a/internal/mesh/peers/peers.go
+++ b/internal/mesh/peers/peers.go
@@ -39,7 +39,7 @@
 	send              Sender
 	onChange          func(Change)
 	grant             func(context.Context, grant.Request) grant.Reply
-	mergeCrashEntries func([]crash.Entry)
+	mergeCrashEntries func(from string, entries []crash.Entry)
 	crashEntries      func() []crash.Entry
 	onNewerConfig     func(from Node)
 	onNewerEpoch      func(from Node)
@@ -112,7 +112,7 @@
 // WithCrashEntries registers the function that returns the node's entries on requests
 // that crash targets, which are sent with the periodic heartbeats and digests, and the
 // function that merges the entries received from other nodes.
-func WithCrashEntries(entries func() []crash.Entry, mergeCrashEntries func([]crash.Entry)) Option {
+func WithCrashEntries(entries func() []crash.Entry, mergeCrashEntries func(from string, entries []crash.Entry)) Option {
 	return func(p *Peers) {
 		p.crashEntries = entries
 		p.mergeCrashEntries = mergeCrashEntries
@@ -141,7 +141,7 @@
 		send:              send,
 		onChange:          func(Change) {},
 		grant:             func(context.Context, grant.Request) grant.Reply { return grant.Reply{} },
-		mergeCrashEntries: func([]crash.Entry) {},
+		mergeCrashEntries: func(string, []crash.Entry) {},
 		crashEntries:      func() []crash.Entry { return nil },
 		onNewerConfig:     func(Node) {},
 		onNewerEpoch:      func(Node) {},
--- a/internal/mesh/peers/receive.go
+++ b/internal/mesh/peers/receive.go
@@ -34,7 +34,7 @@
 		p.receiveGrant(m)
 	}
 	if len(m.CrashEntries) > 0 {
-		p.mergeCrashEntries(m.CrashEntries)
+		p.mergeCrashEntries(m.From, m.CrashEntries)
 	}
 	return nil
 }
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -186,6 +186,13 @@
 	return nil
 }
 
+// crashCountHelp explains the counters of crashes.
+var crashCountHelp = map[string]string{
+	"target_crashes": "Crashes of the target that lost responses, by what showed them.",
+	"exclusive_runs": "Suspected requests that were sent to the target alone.",
+	"crash_refusals": "Requests that were refused because they crash targets.",
+}
+
 // registerGauges registers gauges of the current state of the node.
 func (a *Agent) registerGauges() {
 	register := func(name, help string, read func() int) {
@@ -197,6 +204,15 @@
 	a.stats.Gauge("fuchsiapier_gate_rate_limit", "Requests per second that the target accepts, 0 for no limit.", func() float64 { return a.gate.State().RateLimit })
 	a.stats.Counter("fuchsiapier_gate_sent_total", "Requests that were sent to the target, or would have been if it could be connected to.", nil, func() float64 { return float64(a.gate.State().Sent) })
 	register("peers_alive", "Live nodes, this one included.", func() int { return len(a.peers.View().Nodes()) })
+	for _, c := range a.gate.CrashCounts() {
+		labels := map[string]string{}
+		if c.Evidence != "" {
+			labels["evidence"] = c.Evidence
+		}
+		a.stats.Counter("fuchsiapier_gate_"+c.Name+"_total", crashCountHelp[c.Name], labels, func() float64 { return float64(c.Read()) })
+	}
+	a.stats.Counter("fuchsiapier_crash_entries_sent_total", "Requests that ran during crashes of this node's target, as told to other nodes at once.", nil, func() float64 { return float64(a.crashTracker.sent.Load()) })
+	a.stats.Counter("fuchsiapier_crash_entries_received_total", "Entries on requests that ran during crashes, as received from other nodes.", nil, func() float64 { return float64(a.crashTracker.received.Load()) })
 	register("settings_need_restart", "Settings of the file that take effect with the next start.", func() int { return len(a.reloader.Status().Restart) })
 	register("settings_rejected", "1 if the settings file as it is now was refused.", func() int {
 		if a.reloader.Status().Rejected != "" {
--- a/internal/node/agent/crashtracker.go
+++ b/internal/node/agent/crashtracker.go
@@ -1,7 +1,9 @@
 package agent
 
 import (
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -16,8 +18,11 @@
 	log zerolog.Logger
 	// broadcast sends entries to the other nodes.
 	broadcast func([]crash.Entry)
-	mu        sync.Mutex
-	tracker   *crash.Tracker
+	// sent and received count the entries exchanged with other nodes.
+	sent     atomic.Uint64
+	received atomic.Uint64
+	mu       sync.Mutex
+	tracker  *crash.Tracker
 }
 
 // newCrashTracker returns a tracker without entries; broadcast is called with new or
@@ -44,6 +49,7 @@
 	changed := t.tracker.RecordCrash(timer.Now(), running)
 	t.mu.Unlock()
 	t.logChanges("here", changed)
+	t.sent.Add(uint64(len(changed)))
 	t.broadcast(changed)
 }
 
@@ -53,7 +59,7 @@
 	cleared := t.tracker.RecordSuccess(timer.Now(), f)
 	t.mu.Unlock()
 	if cleared {
-		t.log.Info().Uint64("fingerprint", uint64(f)).Msg("request cleared of crash suspicion")
+		t.log.Info().Str("fingerprint", strconv.FormatUint(uint64(f), 16)).Msg("request cleared of crash suspicion")
 	}
 }
 
@@ -65,9 +71,10 @@
 	return t.tracker.Entries(timer.Now())
 }
 
-// merge adds the entries received from another node and logs those that change the
+// merge adds the entries received from the named node and logs those that change the
 // standing of a request.
-func (t *crashTracker) merge(entries []crash.Entry) {
+func (t *crashTracker) merge(from string, entries []crash.Entry) {
+	t.received.Add(uint64(len(entries)))
 	var changed []crash.Entry
 	t.mu.Lock()
 	for _, e := range entries {
@@ -78,17 +85,24 @@
 		}
 	}
 	t.mu.Unlock()
-	t.logChanges("peer", changed)
+	t.logChanges(from, changed)
 }
 
-// logChanges logs new entries and their origin, "here" or "peer". Requests that ran
-// during a single crash (crash.Noted) are not logged.
+// logChanges logs new entries and the node that they came from, "here" for this one: a line
+// for each suspected or quarantined request, and one for all that ran during a single crash
+// (crash.Noted).
 func (t *crashTracker) logChanges(from string, changed []crash.Entry) {
+	var noted []string
 	for _, e := range changed {
+		fingerprint := strconv.FormatUint(uint64(e.Fingerprint), 16)
 		if e.Standing == crash.Noted {
+			noted = append(noted, fingerprint)
 			continue
 		}
-		t.log.Warn().Uint64("fingerprint", uint64(e.Fingerprint)).Str("standing", string(e.Standing)).
+		t.log.Warn().Str("fingerprint", fingerprint).Str("standing", string(e.Standing)).
 			Int64("left-ms", e.LeftMillis).Str("from", from).Msg("request suspected of crashing targets")
 	}
+	if len(noted) > 0 {
+		t.log.Info().Strs("fingerprints", noted).Str("from", from).Msg("requests ran during a crash")
+	}
 }
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -96,6 +96,7 @@
 	callersTime   serviceTime
 	callersFailed decay.Share
 	runs          runs
+	crashCounts   crashCounts
 }
 
 // Option configures a Gate.
--- a/internal/node/gate/runs.go
+++ b/internal/node/gate/runs.go
@@ -25,32 +25,38 @@
 	maxLost = 256
 )
 
+// run is a request that was sent to the target.
+type run struct {
+	attempt     string
+	fingerprint crash.Fingerprint
+}
+
 // lostResponse is a request whose response was lost.
 type lostResponse struct {
-	fingerprint crash.Fingerprint
-	at          time.Time
+	run
+	at time.Time
 }
 
 // runs tracks the requests in flight at the target and those whose responses were
 // lost, to find out which ran when the target crashed. A lost response by itself is
 // no evidence of a crash; only a refused connection or a restart of the target is.
 type runs struct {
-	running map[*limit.Ticket]crash.Fingerprint
+	running map[*limit.Ticket]run
 	lost    []lostResponse
 }
 
 func newRuns() runs {
 	return runs{
-		running: map[*limit.Ticket]crash.Fingerprint{},
+		running: map[*limit.Ticket]run{},
 	}
 }
 
-func (r *runs) begin(t *limit.Ticket, f crash.Fingerprint) {
-	r.running[t] = f
+func (r *runs) begin(t *limit.Ticket, started run) {
+	r.running[t] = started
 }
 
 func (r *runs) end(now time.Time, t *limit.Ticket, responseLost bool) {
-	f := r.running[t]
+	ended := r.running[t]
 	delete(r.running, t)
 	if !responseLost {
 		return
@@ -59,23 +65,23 @@
 		r.lost = r.lost[1:]
 	}
 	r.lost = append(r.lost, lostResponse{
-		fingerprint: f,
-		at:          now,
+		run: ended,
+		at:  now,
 	})
 }
 
 // takeLost returns the requests whose responses were lost within crashWindow of the
 // latest lost response. It deletes the record of all lost responses, so that a crash
 // is reported once.
-func (r *runs) takeLost() []crash.Fingerprint {
+func (r *runs) takeLost() []lostResponse {
 	if len(r.lost) == 0 {
 		return nil
 	}
 	latest := r.lost[len(r.lost)-1].at
-	var out []crash.Fingerprint
+	var out []lostResponse
 	for _, l := range r.lost {
 		if latest.Sub(l.at) <= crashWindow {
-			out = append(out, l.fingerprint)
+			out = append(out, l)
 		}
 	}
 	r.lost = nil
--- a/internal/node/gate/send.go
+++ b/internal/node/gate/send.go
@@ -21,7 +21,10 @@
 func (g *Gate) run(ctx context.Context, c *call.Call, t *limit.Ticket, fingerprint crash.Fingerprint) call.Result {
 	began := timer.Now()
 	g.mu.Lock()
-	g.runs.begin(t, fingerprint)
+	g.runs.begin(t, run{
+		attempt:     c.Attempt,
+		fingerprint: fingerprint,
+	})
 	g.mu.Unlock()
 	result := g.send(ctx, c)
 	if result.Reached {
@@ -178,15 +181,7 @@
 	if g.target.ID == target.ID {
 		g.downUntil = time.Now().Add(downBackoff)
 	}
-	g.reportCrash()
-}
-
-// reportCrash reports the requests whose responses were lost when the target
-// crashed; g.mu must be held.
-func (g *Gate) reportCrash() {
-	if fingerprints := g.runs.takeLost(); len(fingerprints) > 0 {
-		go g.crashes.RecordCrash(fingerprints)
-	}
+	g.reportCrash(refusedConnection)
 }
 
 // markMoved closes the gate until the next announcement, after a process other
--- a/internal/node/gate/serve.go
+++ b/internal/node/gate/serve.go
@@ -20,6 +20,7 @@
 	fingerprint := c.Fingerprint()
 	standing, left := g.crashes.Lookup(fingerprint)
 	if standing == crash.Quarantined {
+		g.crashCounts.refused.Add(1)
 		refused := notRun(call.CrashesTargets, left)
 		g.logFailure(c, refused)
 		return refused
@@ -38,6 +39,12 @@
 	result, admitted := g.admit(ctx, c, ticket)
 	queued := time.Since(offered)
 	if admitted {
+		if standing != crash.Clear {
+			g.logSuspect(c.Attempt, fingerprint, standing, left, ticket.Exclusive)
+		}
+		if ticket.Exclusive {
+			g.crashCounts.exclusive.Add(1)
+		}
 		result = g.run(ctx, c, ticket, fingerprint)
 	}
 	if standing != crash.Clear && result.Outcome == call.Answered {
--- a/internal/node/gate/target.go
+++ b/internal/node/gate/target.go
@@ -66,7 +66,7 @@
 	}
 	before := g.stateLocked()
 	if g.announced && g.target.StartedAt > 0 && t.StartedAt > g.target.StartedAt {
-		g.reportCrash()
+		g.reportCrash(newStart)
 	}
 	g.setTarget(t)
 	after := g.stateLocked()
