--- a/lab/backend/backend.go
+++ b/lab/backend/backend.go
@@ -52,6 +52,9 @@
 	ServiceTime time.Duration
 	// Names are the header names in use.
 	Names Names
+	// CrashBody is the body of requests that crash the server as soon as one begins to run;
+	// none does if it is empty.
+	CrashBody string
 }
 
 // Run is a request that the server received.
@@ -91,6 +94,10 @@
 	state     string
 	seq       int
 	done      chan struct{}
+	// stop stops the server, once.
+	stop func()
+	// crashed is closed when a request has crashed the server.
+	crashed chan struct{}
 }
 
 // New starts a server on an address (ip:port, port 0 for a free one) and returns
@@ -111,15 +118,17 @@
 			serviceTime: c.ServiceTime,
 		},
 		state: "ready",
-		done:  make(chan struct{}),
+		done:    make(chan struct{}),
+		crashed: make(chan struct{}),
 	}
+	b.stop = sync.OnceFunc(b.close)
 	b.server = &http.Server{
 		Handler:           http.HandlerFunc(b.handle),
 		ReadHeaderTimeout: 5 * time.Second,
 	}
 	go func() { _ = b.server.Serve(l) }()
 	go b.announceLoop()
-	return b, sync.OnceFunc(b.close), nil
+	return b, b.stop, nil
 }
 
 // Address returns the address (ip:port) on which the server listens.
@@ -134,6 +143,11 @@
 	return append([]Run{}, b.runs...)
 }
 
+// Crashed returns a channel that is closed when a request has crashed the server.
+func (b *Backend) Crashed() <-chan struct{} {
+	return b.crashed
+}
+
 // Drain announces the state "draining" at once and from then on. The server still
 // takes requests.
 func (b *Backend) Drain() {
@@ -235,6 +249,10 @@
 	})
 	b.mu.Unlock()
 	defer b.answered(run)
+	if b.config.CrashBody != "" && string(body) == b.config.CrashBody {
+		b.crash()
+		return
+	}
 	time.Sleep(now.serviceTime)
 	if now.rateLimit != "" {
 		w.Header().Set(b.config.Names.RateLimit, now.rateLimit)
@@ -251,6 +269,18 @@
 	_, _ = fmt.Fprintf(w, "%s ran %s %s", b.config.ID, r.URL.Path, strings.TrimSpace(string(body)))
 }
 
+// crash stops the server, which closes all its connections.
+func (b *Backend) crash() {
+	b.stop()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case <-b.crashed:
+	default:
+		close(b.crashed)
+	}
+}
+
 // answered records that the response of a run was sent.
 func (b *Backend) answered(run int) {
 	b.mu.Lock()
--- a/test/serve_test.go
+++ b/test/serve_test.go
@@ -1,7 +1,6 @@
 package test
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -158,6 +157,9 @@
 	return fmt.Sprintf("%s:%d", v.ip, port)
 }
 
+// crashBody is the body of requests that crash each server which runs them.
+const crashBody = "crash the server"
+
 func (v *vm) startServer() {
 	v.cluster.t.Helper()
 	c := backend.Config{
@@ -167,6 +169,7 @@
 		Outbound:    v.address(portOutbound),
 		Slots:       16,
 		ServiceTime: 5 * time.Millisecond,
+		CrashBody:   crashBody,
 		Names: backend.Names{
 			Attempt:   platform.HeaderNames.Attempt,
 			Signature: platform.HeaderNames.Signature,
@@ -268,7 +271,12 @@
 // send sends a request to the outbound address of the VM's node. Without a complete response
 // the status is 0 and the body holds the error.
 func (v *vm) send(method, path, key, id string) (status int, body string, header http.Header) {
-	req, err := http.NewRequest(method, "http://"+v.address(portOutbound)+path, bytes.NewReader([]byte("load "+id)))
+	return v.sendBody(method, path, key, id, "load "+id)
+}
+
+// sendBody is like send, with a body of the caller's choice.
+func (v *vm) sendBody(method, path, key, id, content string) (status int, body string, header http.Header) {
+	req, err := http.NewRequest(method, "http://"+v.address(portOutbound)+path, strings.NewReader(content))
 	if err != nil {
 		v.cluster.t.Fatal(err)
 	}
