--- a/lab/backend/backend.go
+++ b/lab/backend/backend.go
@@ -117,7 +117,7 @@
 		behavior: behavior{
 			serviceTime: c.ServiceTime,
 		},
-		state: "ready",
+		state:   "ready",
 		done:    make(chan struct{}),
 		crashed: make(chan struct{}),
 	}
