--- a/internal/admit/crash/crash.go
+++ b/internal/admit/crash/crash.go
@@ -1,28 +1,31 @@
 // Package crash detects requests that crash the targets they run on, also known as
-// queries of death. The requests that ran on a target when it crashed become suspects.
-// A suspect runs again only in an exclusive run, without any other request on the
-// target, and is quarantined if the target crashes during that run. The package does
-// no I/O and takes time as an argument.
+// queries of death. A node holds the evidence of all crashes that it knows of: which
+// requests ran on a target when it crashed, and which of them have run without a
+// crash since. From that alone follows the standing of a request. Evidence of several
+// nodes is merged by union (a grow-only set with tombstones, a CRDT), so that its order,
+// its repetition and its way don't matter. The package does no I/O and takes time as
+// an argument.
 package crash
 
 import (
 	"hash/fnv"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"fuchsiapier/internal/base/timer"
 )
 
 const (
-	// suspicionTime is how long a request stays noted or suspected after its last crash.
-	suspicionTime = 5 * time.Minute
-	// QuarantineTime is how long a quarantined request is refused.
+	// QuarantineTime is how long the evidence of a crash counts, and with it how long a
+	// request is refused.
 	QuarantineTime = 10 * time.Minute
-	// gossipDelayMargin is the smallest accepted extension of an unchanged standing.
-	// Entries carry a remaining time, so without it an entry that nodes send to each
-	// other repeatedly would be extended by its transmission delay each time.
-	gossipDelayMargin = 10 * time.Second
-	// maxEntries is the maximum number of fingerprints with an entry.
-	maxEntries = 10_000
+	// exchangeTime is the age up to which evidence is sent to other nodes and accepted from
+	// them. The rest of its time exceeds all delays, so that nodes don't bring evidence that has
+	// expired back to each other.
+	exchangeTime = QuarantineTime - 10*time.Second
+	// maxSightings bounds the evidence, as the sum of the requests over all crashes.
+	maxSightings = 50_000
 )
 
 // Fingerprint is a hash of the content of a request. It does not include the request ID,
@@ -40,15 +43,37 @@
 	return Fingerprint(h.Sum64())
 }
 
+// ID identifies a crash.
+type ID uint64
+
+// NewID returns a random ID.
+func NewID() ID {
+	return ID(rand.Uint64())
+}
+
+// Crash is the evidence of one crash of a target, or a part of it, as nodes exchange it. In
+// CBOR it is an array, so the order of its fields is part of the wire format.
+type Crash struct {
+	_  struct{} `cbor:",toarray"`
+	ID ID       `json:"id"`
+	// AgeMillis is the time since the crash, in milliseconds.
+	AgeMillis int64 `json:"age-millis"`
+	// Ran is the number of different requests that ran on the target when it crashed.
+	Ran int `json:"ran"`
+	// Running are those of them that may have crashed it, Cleared those that have run without
+	// a crash since.
+	Running []Fingerprint `json:"running,omitempty"`
+	Cleared []Fingerprint `json:"cleared,omitempty"`
+}
+
 // Standing says whether a request is suspected of crashing targets.
 type Standing string
 
 // The standings, in order of severity.
 const (
-	// Clear requests have no entry.
+	// Clear requests ran during no crash, or have run without one since.
 	Clear Standing = "clear"
-	// Noted requests ran on one target that crashed. This standing is used only where a
-	// request becomes suspect after two crashes.
+	// Noted requests ran during too few crashes to be suspected.
 	Noted Standing = "noted"
 	// Suspected requests run only with no other request on the target.
 	Suspected Standing = "suspected"
@@ -56,7 +81,7 @@
 	Quarantined Standing = "quarantined"
 )
 
-// Entry is the state of a fingerprint that is not Clear, as nodes exchange it.
+// Entry is the standing of a request, as operators see it.
 type Entry struct {
 	Fingerprint Fingerprint `json:"fingerprint"`
 	Standing    Standing    `json:"standing"`
@@ -64,27 +89,33 @@
 	LeftMillis int64 `json:"left-millis"`
 }
 
-// severity orders the standings. Clear and unknown values have severity 0.
-var severity = map[Standing]int{
-	Noted:       1,
-	Suspected:   2,
-	Quarantined: 3,
+// record is the evidence of one crash.
+type record struct {
+	at timer.Instant
+	// ran is the number of requests that ran, of which cleared may name only a part.
+	ran int
+	// cleared holds the requests that ran, and whether they have run without a crash since.
+	cleared map[Fingerprint]bool
 }
 
-// standing is a standing with the time at which it expires.
-type standing struct {
-	standing Standing
-	until    timer.Instant
+// alone reports whether only one request ran.
+func (r *record) alone() bool {
+	return max(r.ran, len(r.cleared)) == 1
 }
 
-// Tracker tracks the suspected and quarantined requests on one node. It is not safe for
-// concurrent use.
+// Tracker holds the evidence of crashes on one node. It is not safe for concurrent use.
 type Tracker struct {
-	entries    map[Fingerprint]standing
-	twoCrashes bool
+	// suspectAfter is the number of crashes after which a request is suspected.
+	suspectAfter int
+	records      map[ID]*record
+	// crashes holds the crashes during which a request ran.
+	crashes map[Fingerprint][]ID
+	// sightings is the sum of the requests over all records.
+	sightings int
+	sums      sums
 }
 
-// Option configures how requests become suspect.
+// Option configures a Tracker.
 type Option func(*Tracker)
 
 // WithTwoCrashes makes a request suspect only after two targets crashed while it ran;
@@ -93,14 +124,16 @@
 // caller would need an exclusive run.
 func WithTwoCrashes() Option {
 	return func(t *Tracker) {
-		t.twoCrashes = true
+		t.suspectAfter = 2
 	}
 }
 
-// NewTracker returns a Tracker without entries.
+// NewTracker returns a Tracker without evidence.
 func NewTracker(options ...Option) *Tracker {
 	t := &Tracker{
-		entries: map[Fingerprint]standing{},
+		suspectAfter: 1,
+		records:      map[ID]*record{},
+		crashes:      map[Fingerprint][]ID{},
 	}
 	for _, o := range options {
 		o(t)
@@ -108,99 +141,174 @@
 	return t
 }
 
+// Empty reports whether there is no evidence.
+func (t *Tracker) Empty() bool {
+	return len(t.records) == 0
+}
+
 // Lookup returns the standing of a request and its remaining time, which is 0 for Clear.
+// A request is suspected after suspectAfter crashes that nothing clears it of, and
+// quarantined after one more if it ran alone during one of them.
 func (t *Tracker) Lookup(now timer.Instant, f Fingerprint) (Standing, time.Duration) {
-	s, ok := t.entries[f]
-	if !ok {
-		return Clear, 0
+	var at []timer.Instant
+	alone := false
+	for _, id := range t.crashes[f] {
+		r := t.records[id]
+		if r.cleared[f] || now.Sub(r.at) >= QuarantineTime {
+			continue
+		}
+		at = append(at, r.at)
+		alone = alone || r.alone()
 	}
-	if now >= s.until {
-		delete(t.entries, f)
+	slices.Sort(at)
+	// left returns how long at least n of the crashes count.
+	left := func(n int) time.Duration { return QuarantineTime - now.Sub(at[len(at)-n]) }
+	switch {
+	case len(at) == 0:
 		return Clear, 0
+	case len(at) > t.suspectAfter && alone:
+		return Quarantined, left(t.suspectAfter + 1)
+	case len(at) >= t.suspectAfter:
+		return Suspected, left(t.suspectAfter)
 	}
-	return s.standing, s.until.Sub(now)
+	return Noted, left(1)
 }
 
-// RecordCrash records that a target crashed while the given requests ran on it. It
-// returns one entry for each of them, to be sent to the other nodes.
-func (t *Tracker) RecordCrash(now timer.Instant, running []Fingerprint) []Entry {
-	var changed []Entry
-	for _, f := range running {
-		old, _ := t.Lookup(now, f)
-		e := Entry{
-			Fingerprint: f,
-			Standing:    Suspected,
-			LeftMillis:  suspicionTime.Milliseconds(),
+// RecordCrash records that a target crashed while the given requests ran on it, and returns the
+// evidence for the other nodes. Several calls with the same ID are about one crash.
+func (t *Tracker) RecordCrash(now timer.Instant, id ID, running []Fingerprint) Crash {
+	running = slices.Clone(running)
+	slices.Sort(running)
+	c := Crash{
+		ID:      id,
+		Running: slices.Compact(running),
+	}
+	c.Ran = len(c.Running)
+	t.Learn(now, c)
+	return c
+}
+
+// Learn merges evidence from a peer and reports whether any of it was new. It ignores evidence
+// that is about to expire, and evidence of further requests while there are maxSightings.
+func (t *Tracker) Learn(now timer.Instant, c Crash) (news bool) {
+	age := time.Duration(max(c.AgeMillis, 0)) * time.Millisecond
+	r, known := t.records[c.ID]
+	if !known {
+		if age >= exchangeTime || len(c.Running)+len(c.Cleared) == 0 {
+			return false
 		}
-		switch {
-		case t.twoCrashes && old == Clear:
-			e.Standing = Noted
-		case len(running) == 1 && (old == Suspected || old == Quarantined):
-			e.Standing = Quarantined
-			e.LeftMillis = QuarantineTime.Milliseconds()
+		r = &record{
+			at:      now.Add(-age),
+			cleared: map[Fingerprint]bool{},
 		}
-		t.Learn(now, e)
-		changed = append(changed, e)
 	}
-	return changed
+	// The age includes the delays of all messages that brought the evidence here: the highest
+	// one is closest to the truth.
+	r.at = min(r.at, now.Add(-age))
+	if c.Ran > r.ran {
+		r.ran, news = c.Ran, true
+	}
+	for _, f := range c.Running {
+		news = t.sight(now, c.ID, r, f, false) || news
+	}
+	for _, f := range c.Cleared {
+		news = t.sight(now, c.ID, r, f, true) || news
+	}
+	if len(r.cleared) > 0 {
+		t.records[c.ID] = r
+	}
+	if news {
+		t.sums.stale = true
+	}
+	return news
 }
 
-// Learn merges an entry from a peer; the more severe standing wins. It ignores entries
-// with an unknown standing, and new fingerprints while there are maxEntries.
-func (t *Tracker) Learn(now timer.Instant, e Entry) {
-	old, _ := t.Lookup(now, e.Fingerprint)
-	if severity[e.Standing] == 0 || severity[e.Standing] < severity[old] {
-		return
+// sight adds that a request ran during a crash, and that it was cleared if so. It reports
+// whether that was new.
+func (t *Tracker) sight(now timer.Instant, id ID, r *record, f Fingerprint, cleared bool) bool {
+	if was, ok := r.cleared[f]; ok {
+		r.cleared[f] = was || cleared
+		return cleared && !was
 	}
-	if len(t.entries) >= maxEntries {
+	if t.sightings >= maxSightings {
 		t.expire(now)
 	}
-	if len(t.entries) >= maxEntries && old == Clear {
-		return
-	}
-	until := now.Add(min(time.Duration(e.LeftMillis)*time.Millisecond, QuarantineTime))
-	if old == e.Standing && until.Sub(t.entries[e.Fingerprint].until) < gossipDelayMargin {
-		return
-	}
-	t.entries[e.Fingerprint] = standing{
-		standing: e.Standing,
-		until:    until,
+	if t.sightings >= maxSightings {
+		return false
 	}
+	r.cleared[f] = cleared
+	t.crashes[f] = append(t.crashes[f], id)
+	t.sightings++
+	return true
 }
 
 // RecordSuccess records that a request has run without a crash. If the request is noted
-// or suspected, RecordSuccess removes its entry and returns true.
+// or suspected, RecordSuccess clears it of all crashes so far and returns true.
 func (t *Tracker) RecordSuccess(now timer.Instant, f Fingerprint) bool {
 	old, _ := t.Lookup(now, f)
 	if old != Suspected && old != Noted {
 		return false
 	}
-	delete(t.entries, f)
+	for _, id := range t.crashes[f] {
+		t.records[id].cleared[f] = true
+	}
+	t.sums.stale = true
 	return true
 }
 
+// Evidence returns what is known of the crashes during which a request ran and of which it is
+// not cleared, with no other request named.
+func (t *Tracker) Evidence(now timer.Instant, f Fingerprint) []Crash {
+	var out []Crash
+	for _, id := range t.crashes[f] {
+		r := t.records[id]
+		if r.cleared[f] || now.Sub(r.at) >= exchangeTime {
+			continue
+		}
+		out = append(out, Crash{
+			ID:        id,
+			AgeMillis: now.Sub(r.at).Milliseconds(),
+			Ran:       max(r.ran, len(r.cleared)),
+			Running:   []Fingerprint{f},
+		})
+	}
+	return out
+}
+
 // Entries returns the suspected and quarantined requests, in no particular order.
 func (t *Tracker) Entries(now timer.Instant) []Entry {
 	t.expire(now)
-	out := make([]Entry, 0, len(t.entries))
-	for f, s := range t.entries {
-		if s.standing == Noted {
+	out := []Entry{}
+	for f := range t.crashes {
+		s, left := t.Lookup(now, f)
+		if s != Suspected && s != Quarantined {
 			continue
 		}
 		out = append(out, Entry{
 			Fingerprint: f,
-			Standing:    s.standing,
-			LeftMillis:  s.until.Sub(now).Milliseconds(),
+			Standing:    s,
+			LeftMillis:  left.Milliseconds(),
 		})
 	}
 	return out
 }
 
-// expire removes the expired entries.
+// expire removes the crashes that no longer count.
 func (t *Tracker) expire(now timer.Instant) {
-	for f, s := range t.entries {
-		if now >= s.until {
-			delete(t.entries, f)
+	for id, r := range t.records {
+		if now.Sub(r.at) < QuarantineTime {
+			continue
+		}
+		delete(t.records, id)
+		t.sightings -= len(r.cleared)
+		for f := range r.cleared {
+			rest := slices.DeleteFunc(t.crashes[f], func(o ID) bool { return o == id })
+			if len(rest) == 0 {
+				delete(t.crashes, f)
+				continue
+			}
+			t.crashes[f] = rest
 		}
+		t.sums.stale = true
 	}
 }
--- a/internal/admit/poison/poison.go
+++ b/internal/admit/poison/poison.go
@@ -1,111 +1,187 @@
 // Package poison tracks poison requests, which crash the targets they run on, for all
-// components of a node. It wraps a tracker of package crash, records changes as events
-// and sends the entries of crashes on this node to the peers.
+// components of a node. It wraps a tracker of package crash, reports what it learns and sends
+// the evidence of crashes on this node to the peers.
 package poison
 
 import (
-	"strconv"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"fuchsiapier/internal/admit/crash"
-	"fuchsiapier/internal/base/event"
 	"fuchsiapier/internal/base/timer"
 )
 
-// Tracker holds the standings of requests by the rules of package crash, at the current
+// Here is the origin of evidence that comes from this node.
+const Here = "here"
+
+// News is evidence of a crash that was new, and what followed from it.
+type News struct {
+	Crash crash.Crash
+	// From names the node that the evidence came from, or is Here.
+	From string
+	// Changed are the requests whose standing has changed.
+	Changed []crash.Entry
+}
+
+// Tracker holds the evidence of crashes by the rules of package crash, at the current
 // time. It is safe for concurrent use.
 type Tracker struct {
+	broadcast func(crash.Crash)
+	onNews    func(News)
+	onCleared func(crash.Fingerprint)
+	clock     func() timer.Instant
+	options   []crash.Option
+	received  atomic.Uint64
 	mu        sync.Mutex
 	tracker   *crash.Tracker
-	events    *event.Ring
-	broadcast func([]crash.Entry)
 }
 
-// New returns a Tracker without entries that records its changes in events. broadcast
-// is called with the entries to send to the peers.
-func New(events *event.Ring, broadcast func([]crash.Entry)) *Tracker {
-	return &Tracker{
-		tracker:   crash.NewTracker(),
-		events:    events,
-		broadcast: broadcast,
+// Option configures a Tracker.
+type Option func(*Tracker)
+
+// WithOnNews sets a function that is called with new evidence.
+func WithOnNews(f func(News)) Option {
+	return func(t *Tracker) {
+		t.onNews = f
 	}
 }
 
-// Lookup returns the standing of the request with fingerprint f and the remaining time
-// of the standing, in milliseconds.
-func (t *Tracker) Lookup(f uint64) (crash.Standing, int64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s, left := t.tracker.Lookup(timer.Now(), crash.Fingerprint(f))
-	return s, left.Milliseconds()
+// WithOnCleared sets a function that is called with each request that was cleared by a run on
+// this node.
+func WithOnCleared(f func(crash.Fingerprint)) Option {
+	return func(t *Tracker) {
+		t.onCleared = f
+	}
 }
 
-// Suspicion returns the entry of the request with fingerprint f if it is suspected, and
-// none otherwise.
-func (t *Tracker) Suspicion(f uint64) []crash.Entry {
-	standing, left := t.Lookup(f)
-	if standing != crash.Suspected {
-		return nil
+// WithClock sets the clock. The default is timer.Now.
+func WithClock(now func() timer.Instant) Option {
+	return func(t *Tracker) {
+		t.clock = now
 	}
-	return []crash.Entry{
-		{
-			Fingerprint: crash.Fingerprint(f),
-			Standing:    standing,
-			LeftMillis:  left,
-		},
+}
+
+// WithRules sets when requests become suspect.
+func WithRules(options ...crash.Option) Option {
+	return func(t *Tracker) {
+		t.options = options
 	}
 }
 
-// RecordCrash records that a target crashed while the requests with the given
-// fingerprints ran on it. It sends the resulting entries to the peers and returns them.
-func (t *Tracker) RecordCrash(running []uint64) []crash.Entry {
-	fingerprints := make([]crash.Fingerprint, 0, len(running))
-	for _, f := range running {
-		fingerprints = append(fingerprints, crash.Fingerprint(f))
+// New returns a Tracker without evidence. broadcast is called with the evidence to send to the
+// peers at once.
+func New(broadcast func(crash.Crash), options ...Option) *Tracker {
+	t := &Tracker{
+		broadcast: broadcast,
+		onNews:    func(News) {},
+		onCleared: func(crash.Fingerprint) {},
+		clock:     timer.Now,
+	}
+	for _, o := range options {
+		o(t)
 	}
+	t.tracker = crash.NewTracker(t.options...)
+	return t
+}
+
+// Lookup returns the standing of a request and its remaining time.
+func (t *Tracker) Lookup(f crash.Fingerprint) (crash.Standing, time.Duration) {
 	t.mu.Lock()
-	changed := t.tracker.RecordCrash(timer.Now(), fingerprints)
-	t.mu.Unlock()
-	t.record(changed)
-	t.broadcast(changed)
-	return changed
+	defer t.mu.Unlock()
+	return t.tracker.Lookup(t.clock(), f)
 }
 
-// Learn merges entries from a peer; see crash.Tracker.Learn. It does not send them on.
-func (t *Tracker) Learn(entries []crash.Entry) {
+// Empty reports whether there is no evidence, so that every request is clear.
+func (t *Tracker) Empty() bool {
 	t.mu.Lock()
-	var changed []crash.Entry
-	for _, e := range entries {
-		before, _ := t.tracker.Lookup(timer.Now(), e.Fingerprint)
-		t.tracker.Learn(timer.Now(), e)
-		after, _ := t.tracker.Lookup(timer.Now(), e.Fingerprint)
-		if before != after {
-			changed = append(changed, e)
+	defer t.mu.Unlock()
+	return t.tracker.Empty()
+}
+
+// Evidence returns what is known against a request that is not clear, to be sent along with it.
+func (t *Tracker) Evidence(f crash.Fingerprint) []crash.Crash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tracker.Evidence(t.clock(), f)
+}
+
+// RecordCrash records that a target crashed while the requests with the given fingerprints ran
+// on it. It sends the evidence to the peers and returns it. Several calls with the same ID are
+// about one crash.
+func (t *Tracker) RecordCrash(id crash.ID, running []crash.Fingerprint) crash.Crash {
+	var c crash.Crash
+	t.learn(Here, running, func(now timer.Instant) crash.Crash {
+		c = t.tracker.RecordCrash(now, id, running)
+		return c
+	})
+	t.broadcast(c)
+	return c
+}
+
+// Learn merges evidence from the named peer and returns what of it was new. It does not send it on.
+func (t *Tracker) Learn(from string, crashes []crash.Crash) (news []crash.Crash) {
+	for _, c := range crashes {
+		t.received.Add(1)
+		fresh := false
+		t.learn(from, append(append([]crash.Fingerprint{}, c.Running...), c.Cleared...), func(now timer.Instant) crash.Crash {
+			fresh = t.tracker.Learn(now, c)
+			return c
+		})
+		if fresh {
+			news = append(news, c)
+		}
+	}
+	return news
+}
+
+// learn calls merge, which adds evidence about the given requests, and reports the changes.
+func (t *Tracker) learn(from string, requests []crash.Fingerprint, merge func(now timer.Instant) crash.Crash) {
+	news := News{
+		From: from,
+	}
+	t.mu.Lock()
+	now := t.clock()
+	before := make([]crash.Standing, len(requests))
+	for i, f := range requests {
+		before[i], _ = t.tracker.Lookup(now, f)
+	}
+	news.Crash = merge(now)
+	for i, f := range requests {
+		if s, left := t.tracker.Lookup(now, f); s != before[i] {
+			news.Changed = append(news.Changed, crash.Entry{
+				Fingerprint: f,
+				Standing:    s,
+				LeftMillis:  left.Milliseconds(),
+			})
 		}
 	}
 	t.mu.Unlock()
-	t.record(changed)
+	if len(news.Changed) > 0 {
+		t.onNews(news)
+	}
 }
 
-// RecordSuccess records that the request with fingerprint f has run without a crash.
-func (t *Tracker) RecordSuccess(f uint64) {
+// RecordSuccess records that a request has run without a crash.
+func (t *Tracker) RecordSuccess(f crash.Fingerprint) {
 	t.mu.Lock()
-	cleared := t.tracker.RecordSuccess(timer.Now(), crash.Fingerprint(f))
+	cleared := t.tracker.RecordSuccess(t.clock(), f)
 	t.mu.Unlock()
 	if cleared {
-		t.events.Add(event.Event{
-			Kind:   "suspect-cleared",
-			Detail: hexString(crash.Fingerprint(f)),
-		})
+		t.onCleared(f)
 	}
 }
 
-// Quarantined returns at most limit quarantined requests.
-func (t *Tracker) Quarantined(limit int) []crash.Entry {
-	var out []crash.Entry
-	for _, e := range t.Entries() {
-		if e.Standing == crash.Quarantined && len(out) < limit {
-			out = append(out, e)
+// Quarantined returns the evidence against at most limit quarantined requests.
+func (t *Tracker) Quarantined(limit int) []crash.Crash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock()
+	var out []crash.Crash
+	for _, e := range t.tracker.Entries(now) {
+		if e.Standing == crash.Quarantined && limit > 0 {
+			limit--
+			out = append(out, t.tracker.Evidence(now, e.Fingerprint)...)
 		}
 	}
 	return out
@@ -115,20 +191,26 @@
 func (t *Tracker) Entries() []crash.Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.tracker.Entries(timer.Now())
+	return t.tracker.Entries(t.clock())
 }
 
-// record adds an event for each entry.
-func (t *Tracker) record(changed []crash.Entry) {
-	for _, e := range changed {
-		t.events.Add(event.Event{
-			Kind:   "request-" + string(e.Standing),
-			Detail: hexString(e.Fingerprint),
-		})
-	}
+// Sums returns the checksums of the evidence; see crash.Tracker.Sums.
+func (t *Tracker) Sums() (parts []uint64, all uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	parts, all = t.tracker.Sums(t.clock())
+	return append([]uint64{}, parts...), all
+}
+
+// Differing returns the evidence that a node with the given checksums may lack; see
+// crash.Tracker.Differing.
+func (t *Tracker) Differing(theirs []uint64) []crash.Crash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.tracker.Differing(t.clock(), theirs)
 }
 
-// hexString returns the hexadecimal form of a fingerprint, as events contain it.
-func hexString(f crash.Fingerprint) string {
-	return strconv.FormatUint(uint64(f), 16)
+// Received returns how many pieces of evidence came from peers so far.
+func (t *Tracker) Received() uint64 {
+	return t.received.Load()
 }
--- a/internal/edge/daemon/broadcast.go
+++ b/internal/edge/daemon/broadcast.go
@@ -1,23 +1,41 @@
 package daemon
 
 import (
+	"strconv"
+
 	"fuchsiapier/internal/admit/crash"
+	"fuchsiapier/internal/admit/poison"
+	"fuchsiapier/internal/base/event"
 	"fuchsiapier/internal/conf/feed"
 	"fuchsiapier/internal/edge/wire"
 	"fuchsiapier/internal/mesh/roster"
 )
 
-// broadcastCrash sends the crash tracker entries that the crash of a target caused
-// to the other nodes.
-func (d *Daemon) broadcastCrash(entries []crash.Entry) {
+// broadcastCrash sends the evidence of a crash to the other nodes.
+func (d *Daemon) broadcastCrash(c crash.Crash) {
 	d.broadcast(wire.MethodCrash, crashMessage{
-		Entries: entries,
+		Crashes: []crash.Crash{c},
+	})
+}
+
+// recordCrash adds an event for each request whose standing new evidence has changed.
+func (d *Daemon) recordCrash(n poison.News) {
+	for _, e := range n.Changed {
+		d.recordStanding("request-"+string(e.Standing), e.Fingerprint)
+	}
+}
+
+// recordStanding adds an event about a request.
+func (d *Daemon) recordStanding(kind string, f crash.Fingerprint) {
+	d.events.Add(event.Event{
+		Kind:   kind,
+		Detail: strconv.FormatUint(uint64(f), 16),
 	})
 }
 
-// crashMessage carries crash tracker entries between nodes.
+// crashMessage carries evidence of crashes between nodes.
 type crashMessage struct {
-	Entries []crash.Entry `json:"entries"`
+	Crashes []crash.Crash `json:"crashes"`
 	// Forwarded is set on the second hop; receivers forward the message no further.
 	Forwarded bool `json:"forwarded,omitempty"`
 }
@@ -68,10 +86,10 @@
 	Update feed.Update `json:"update"`
 }
 
-// receiveCrash merges the entries of a crashMessage and forwards it once to the
+// receiveCrash merges the evidence of a crashMessage and forwards it once to the
 // nodes of the local domain.
 func (d *Daemon) receiveCrash(m crashMessage) {
-	d.poison.Learn(m.Entries)
+	d.poison.Learn("peer", m.Crashes)
 	if m.Forwarded {
 		return
 	}
--- a/internal/edge/daemon/daemon.go
+++ b/internal/edge/daemon/daemon.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/admit/limit"
 	"fuchsiapier/internal/admit/poison"
 	"fuchsiapier/internal/base/event"
@@ -152,7 +153,9 @@
 	d.tree.Cleanup(stop)
 	d.once, stop = once.New(self.Name, self.Incarnation, p, d.timers)
 	d.tree.Cleanup(stop)
-	d.poison = poison.New(d.events, d.broadcastCrash)
+	d.poison = poison.New(d.broadcastCrash, poison.WithOnNews(d.recordCrash), poison.WithOnCleared(func(f crash.Fingerprint) {
+		d.recordStanding("suspect-cleared", f)
+	}))
 	d.sender = send.New(self, p, d.once, d.poison, d.senderOptions()...)
 	return nil
 }
--- a/internal/edge/runner/announce.go
+++ b/internal/edge/runner/announce.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/base/check"
 	"fuchsiapier/internal/base/event"
 	"fuchsiapier/internal/base/timer"
@@ -74,7 +75,7 @@
 	r.mu.Lock()
 	old := r.target
 	newInstance := old == nil || old.announced.Instance != a.Instance || old.announced.Address != a.Address
-	var running []uint64
+	var running []crash.Fingerprint
 	if newInstance {
 		if old != nil && !old.down && old.announced.State == string(roster.Ready) {
 			running = r.handles.fingerprints()
@@ -91,7 +92,7 @@
 		old.closePool()
 	}
 	if len(running) > 0 {
-		r.poison.RecordCrash(running)
+		r.poison.RecordCrash(crash.NewID(), running)
 	}
 	if !changed {
 		return
--- a/internal/edge/runner/handles.go
+++ b/internal/edge/runner/handles.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"sync"
 
+	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/admit/level"
 	"fuchsiapier/internal/admit/retry"
 	"fuchsiapier/internal/edge/wire"
@@ -106,12 +107,12 @@
 }
 
 // fingerprints returns the fingerprints of all active calls.
-func (h *handles) fingerprints() []uint64 {
+func (h *handles) fingerprints() []crash.Fingerprint {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	out := make([]uint64, 0, len(h.calls))
+	out := make([]crash.Fingerprint, 0, len(h.calls))
 	for _, a := range h.calls {
-		out = append(out, a.call.Fingerprint)
+		out = append(out, crash.Fingerprint(a.call.Fingerprint))
 	}
 	return out
 }
--- a/internal/edge/runner/run.go
+++ b/internal/edge/runner/run.go
@@ -67,10 +67,10 @@
 // admit waits for a slot of the target and runs the call. A quarantined request is
 // refused; a suspected one runs exclusively.
 func (r *Runner) admit(ctx context.Context, t *target, c wire.Call) wire.Reply {
-	r.poison.Learn(c.Suspicion)
-	standing, left := r.poison.Lookup(c.Fingerprint)
+	r.poison.Learn("caller", c.Evidence)
+	standing, left := r.poison.Lookup(crash.Fingerprint(c.Fingerprint))
 	if standing == crash.Quarantined {
-		return wire.Refuse(wire.ReasonQuarantine, time.Duration(left)*time.Millisecond).AsFinal()
+		return wire.Refuse(wire.ReasonQuarantine, left).AsFinal()
 	}
 	ticket := &limit.Ticket{
 		Priority:  c.Priority,
@@ -114,7 +114,7 @@
 	if reply.Outcome == wire.NotRun {
 		return reply.WithRetriesLeft(active.allowance.Left()), result
 	}
-	r.poison.RecordSuccess(c.Fingerprint)
+	r.poison.RecordSuccess(crash.Fingerprint(c.Fingerprint))
 	reply.Levels = active.downstreamLevels()
 	return reply.WithRetriesLeft(active.allowance.Left()), result
 }
@@ -175,8 +175,8 @@
 
 // detectCrash checks whether the target still accepts connections. If not, the first
 // call to detect this marks the target down, records the given running requests with
-// the crash tracker and returns the new entries.
-func (r *Runner) detectCrash(t *target, running []uint64) []crash.Entry {
+// the crash tracker and returns the evidence.
+func (r *Runner) detectCrash(t *target, running []crash.Fingerprint) []crash.Crash {
 	c, err := net.DialTimeout("tcp", t.pool.Address(), crashDialTimeout)
 	if err == nil {
 		_ = c.Close()
@@ -197,5 +197,5 @@
 	if len(running) == 0 {
 		return nil
 	}
-	return r.poison.RecordCrash(running)
+	return []crash.Crash{r.poison.RecordCrash(crash.NewID(), running)}
 }
--- a/internal/edge/send/send.go
+++ b/internal/edge/send/send.go
@@ -148,9 +148,9 @@
 // refused returns the refusal of a call that is quarantined, or, on the first hop,
 // whose priority is below the admission level of a service along its route.
 func (s *Sender) refused(c wire.Call) (wire.Reply, bool) {
-	standing, leftMillis := s.poison.Lookup(c.Fingerprint)
+	standing, left := s.poison.Lookup(crash.Fingerprint(c.Fingerprint))
 	if standing == crash.Quarantined {
-		return wire.Refuse(wire.ReasonQuarantine, time.Duration(leftMillis)*time.Millisecond).AsFinal(), true
+		return wire.Refuse(wire.ReasonQuarantine, left).AsFinal(), true
 	}
 	if !s.policy.Levels || c.Depth > 0 {
 		return wire.Reply{}, false
@@ -293,7 +293,7 @@
 		granted = a.Split()
 	}
 	c.Retries = granted
-	c.Suspicion = s.poison.Suspicion(c.Fingerprint)
+	c.Evidence = s.poison.Evidence(crash.Fingerprint(c.Fingerprint))
 	c.Serial = fmt.Sprintf("%s.%d", s.self, s.serial.Add(1))
 	deadline, _ := ctx.Deadline()
 	s.picker.begin(e.Name)
@@ -323,17 +323,15 @@
 	return wire.UnknownOutcome(wire.ReasonPeerLost)
 }
 
-// recordFeedback records the load, the admission levels and the crash entries that a
+// recordFeedback records the load, the admission levels and the evidence of a crash that a
 // reply carries.
 func (s *Sender) recordFeedback(c wire.Call, e roster.Entry, r wire.Reply) {
 	now := timer.Now()
 	s.picker.report(now, e.Name, r.Load)
 	s.levels.Report(now, c.Route, e.Name, r.Level, r.Levels)
-	if len(r.Crash) > 0 {
-		s.poison.Learn(r.Crash)
-	}
+	s.poison.Learn(e.Name, r.Crash)
 	if r.Outcome == wire.Done {
-		s.poison.RecordSuccess(c.Fingerprint)
+		s.poison.RecordSuccess(crash.Fingerprint(c.Fingerprint))
 	}
 }
 
--- a/internal/edge/wire/wire.go
+++ b/internal/edge/wire/wire.go
@@ -20,7 +20,7 @@
 	MethodJoin = "join"
 	// MethodClaim records or releases a claim at a replica.
 	MethodClaim = "claim"
-	// MethodCrash reports the crash entries of requests.
+	// MethodCrash carries evidence of crashes.
 	MethodCrash = "crash"
 )
 
@@ -173,9 +173,9 @@
 	Version uint64 `json:"version,omitempty"`
 	// Fingerprint is a hash of workspace, method, path and body.
 	Fingerprint uint64 `json:"fingerprint,omitempty"`
-	// Suspicion is what the sender knows of the request if it is suspected of crashing
-	// targets: the node beside the target may not have heard of the crash yet.
-	Suspicion   []crash.Entry `json:"suspicion,omitempty"`
+	// Evidence is what the sender knows against the request if it ran during crashes: the node
+	// beside the target may not have heard of them yet.
+	Evidence    []crash.Crash `json:"evidence,omitempty"`
 	Method      string        `json:"method"`
 	Path        string        `json:"path"`
 	ContentType string        `json:"content-type,omitempty"`
@@ -212,9 +212,8 @@
 	RetryMillis int64 `json:"retry-millis,omitempty"`
 	// Final tells the services upstream that a retry would not help.
 	Final bool `json:"final,omitempty"`
-	// Crash carries the crash entries of the requests that were running when the
-	// target crashed.
-	Crash []crash.Entry `json:"crash,omitempty"`
+	// Crash is the evidence of the crash of the target, if it has crashed.
+	Crash []crash.Crash `json:"crash,omitempty"`
 	// RetriesLeft is the unused part of the call's retry allowance.
 	RetriesLeft int `json:"retries-left,omitempty"`
 	// Level is the target's admission level. Levels are those of the services that
--- a/internal/mesh/gossip/gossip.go
+++ b/internal/mesh/gossip/gossip.go
@@ -50,10 +50,10 @@
 	// platform's whole log.
 	Version       uint64 `json:"version"`
 	ContactMillis int64  `json:"contact-millis"`
-	// Crash holds the quarantined requests that the sender knows of, at most
-	// maxCrashEntries. Each message repeats them for nodes that missed the
-	// notification sent when a request was quarantined.
-	Crash []crash.Entry `json:"crash,omitempty"`
+	// Crash is the evidence against the quarantined requests that the sender knows of, at most
+	// maxQuarantined. Each message repeats it for nodes that missed the
+	// notifications of the crashes.
+	Crash []crash.Crash `json:"crash,omitempty"`
 }
 
 // Probe asks a peer to probe a third node on the sender's behalf (ping-req in SWIM).
@@ -85,14 +85,14 @@
 
 // CrashTracker tracks the requests that crash targets.
 type CrashTracker interface {
-	// Quarantined returns at most limit quarantined requests.
-	Quarantined(limit int) []crash.Entry
-	// Learn merges entries received from a peer.
-	Learn(entries []crash.Entry)
+	// Quarantined returns the evidence against at most limit quarantined requests.
+	Quarantined(limit int) []crash.Crash
+	// Learn merges evidence received from the named peer and returns what of it was new.
+	Learn(from string, crashes []crash.Crash) (news []crash.Crash)
 }
 
-// maxCrashEntries bounds the quarantined requests of one message.
-const maxCrashEntries = 20
+// maxQuarantined bounds the quarantined requests of one message.
+const maxQuarantined = 20
 
 // Gossip runs the exchanges of one node. It is safe for concurrent use.
 type Gossip struct {
@@ -164,7 +164,7 @@
 		Stamp:         g.events.Stamp(),
 		Version:       g.feed.State().Version,
 		ContactMillis: g.feed.ContactAge().Milliseconds(),
-		Crash:         g.crashes.Quarantined(maxCrashEntries),
+		Crash:         g.crashes.Quarantined(maxQuarantined),
 	}
 }
 
@@ -172,7 +172,7 @@
 func (g *Gossip) Answer(m Message) Message {
 	now := timer.Now()
 	g.events.Observe(m.Stamp)
-	g.crashes.Learn(m.Crash)
+	g.crashes.Learn("peer", m.Crash)
 	reply := g.message(now)
 	reply.Roster = g.roster.Answer(now, m.Roster)
 	g.checkReplaced(m.Roster)
@@ -325,7 +325,7 @@
 	}
 	now := timer.Now()
 	g.events.Observe(reply.Stamp)
-	g.crashes.Learn(reply.Crash)
+	g.crashes.Learn(address, reply.Crash)
 	next, more := g.roster.MergeReply(now, reply.Roster)
 	g.checkReplaced(reply.Roster)
 	g.feed.RecordContact(reply.Version, sentAt.Add(-time.Duration(reply.ContactMillis)*time.Millisecond))
--- a/internal/mesh/gossip/gossip_test.go
+++ b/internal/mesh/gossip/gossip_test.go
@@ -65,21 +65,22 @@
 
 func (f *fakeFeed) ContactAge() time.Duration { return 0 }
 
-// fakeTracker keeps all entries by fingerprint and never lets one expire.
-type fakeTracker map[crash.Fingerprint]crash.Entry
+// fakeTracker keeps all evidence by crash and never lets it expire.
+type fakeTracker map[crash.ID]crash.Crash
 
-func (f fakeTracker) Quarantined(int) []crash.Entry {
-	var out []crash.Entry
-	for _, e := range f {
-		out = append(out, e)
+func (f fakeTracker) Quarantined(int) []crash.Crash {
+	var out []crash.Crash
+	for _, c := range f {
+		out = append(out, c)
 	}
 	return out
 }
 
-func (f fakeTracker) Learn(entries []crash.Entry) {
-	for _, e := range entries {
-		f[e.Fingerprint] = e
+func (f fakeTracker) Learn(_ string, crashes []crash.Crash) (news []crash.Crash) {
+	for _, c := range crashes {
+		f[c.ID] = c
 	}
+	return nil
 }
 
 // add starts the Gossip of a node whose configuration has the given version.
@@ -128,7 +129,7 @@
 			So(feedTwo.State().Version, ShouldEqual, 5)
 		})
 		Convey("quarantined requests reach a node that missed the notification, by request and by response", func() {
-			trackerTwo.Learn([]crash.Entry{{Fingerprint: 7, Standing: crash.Quarantined, LeftMillis: 1000}})
+			trackerTwo.Learn("three", []crash.Crash{{ID: 3, Ran: 1, Running: []crash.Fingerprint{7}}})
 			So(one.exchange("two"), ShouldBeNil)
 			So(trackerOne, ShouldHaveLength, 1)
 			_, _, trackerFour := n.add(t, "four", 1)
--- a/internal/mesh/peers/node.go
+++ b/internal/mesh/peers/node.go
@@ -15,7 +15,6 @@
 	"strconv"
 	"time"
 
-	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/admit/graph"
 	"fuchsiapier/internal/quota/grant"
 )
@@ -114,10 +113,10 @@
 	Part  uint8
 	Parts uint8
 	// Relayed says that a keeper forwarded the digest within its own domain.
-	Relayed      bool
-	Request      *grant.Request
-	Grant        *grant.Reply
-	CrashEntries []crash.Entry
+	Relayed  bool
+	Request  *grant.Request
+	Grant    *grant.Reply
+	Evidence *evidence
 	// Loads are nodes of a digest whose whole records the receiver has from an earlier one.
 	Loads []load
 	// About names a node in a request for the records of its domain.
@@ -135,11 +134,13 @@
 	// kindRequest requests tokens, kindGrant is the response.
 	kindRequest
 	kindGrant
-	// kindCrash carries new entries on requests that crash targets.
+	// kindCrash carries evidence of crashes of targets.
 	kindCrash
 	// kindResend requests the whole records of the nodes of a domain, which a digest named
 	// by load only.
 	kindResend
+	// kindCrashPull requests the evidence of crashes that the sender lacks.
+	kindCrashPull
 )
 
 // Periods and timeouts of heartbeats, digests and failure detection.
--- a/internal/mesh/peers/peers.go
+++ b/internal/mesh/peers/peers.go
@@ -13,7 +13,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/base/timer"
 	"fuchsiapier/internal/mesh/rank"
 	"fuchsiapier/internal/quota/grant"
@@ -36,13 +35,12 @@
 // Peers tracks the other nodes and exchanges messages with them. It is safe for
 // concurrent use.
 type Peers struct {
-	send              Sender
-	onChange          func(Change)
-	grant             func(context.Context, grant.Request) grant.Reply
-	mergeCrashEntries func(from string, entries []crash.Entry)
-	crashEntries      func() []crash.Entry
-	onNewerConfig     func(from Node)
-	onNewerEpoch      func(from Node)
+	send          Sender
+	onChange      func(Change)
+	grant         func(context.Context, grant.Request) grant.Reply
+	crashes       Crashes
+	onNewerConfig func(from Node)
+	onNewerEpoch  func(from Node)
 
 	// mu guards the fields below, except for the atomic ones and self.Name, which never
 	// changes.
@@ -62,6 +60,8 @@
 	digested map[string]*digested
 	// resendAt is when the records of the domain of a sender were last requested.
 	resendAt map[string]timer.Instant
+	// pulledAt is when evidence of crashes was last requested from a node of a failure domain.
+	pulledAt map[string]timer.Instant
 	// names holds the names of the other nodes by ID.
 	names map[nodeID]string
 	// rounds holds the digests of the latest round of each sender.
@@ -109,13 +109,11 @@
 	}
 }
 
-// WithCrashEntries registers the function that returns the node's entries on requests
-// that crash targets, which are sent with the periodic heartbeats and digests, and the
-// function that merges the entries received from other nodes.
-func WithCrashEntries(entries func() []crash.Entry, mergeCrashEntries func(from string, entries []crash.Entry)) Option {
+// WithCrashes sets what holds the evidence of crashes of targets. Without it the node exchanges
+// none.
+func WithCrashes(c Crashes) Option {
 	return func(p *Peers) {
-		p.crashEntries = entries
-		p.mergeCrashEntries = mergeCrashEntries
+		p.crashes = c
 	}
 }
 
@@ -138,20 +136,20 @@
 // New returns the Peers of a node that knows no other nodes yet.
 func New(self Node, send Sender, options ...Option) *Peers {
 	p := &Peers{
-		send:              send,
-		onChange:          func(Change) {},
-		grant:             func(context.Context, grant.Request) grant.Reply { return grant.Reply{} },
-		mergeCrashEntries: func(string, []crash.Entry) {},
-		crashEntries:      func() []crash.Entry { return nil },
-		onNewerConfig:     func(Node) {},
-		onNewerEpoch:      func(Node) {},
-		self:              self,
-		others:            map[string]*peer{},
-		digested:          map[string]*digested{},
-		resendAt:          map[string]timer.Instant{},
-		names:             map[nodeID]string{},
-		rounds:            map[string]*digestRound{},
-		pending:           map[uint64]chan grant.Reply{},
+		send:          send,
+		onChange:      func(Change) {},
+		grant:         func(context.Context, grant.Request) grant.Reply { return grant.Reply{} },
+		crashes:       noCrashes{},
+		onNewerConfig: func(Node) {},
+		onNewerEpoch:  func(Node) {},
+		self:          self,
+		others:        map[string]*peer{},
+		digested:      map[string]*digested{},
+		resendAt:      map[string]timer.Instant{},
+		pulledAt:      map[string]timer.Instant{},
+		names:         map[nodeID]string{},
+		rounds:        map[string]*digestRound{},
+		pending:       map[uint64]chan grant.Reply{},
 	}
 	for _, o := range options {
 		o(p)
@@ -195,7 +193,7 @@
 func (p *Peers) Learn(now timer.Instant, nodes []Node) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	heartbeat := p.encode(kindHeartbeat, []Node{p.self}, nil)
+	heartbeat := p.encodeSelf()
 	for _, n := range nodes {
 		if n.Name == p.self.Name {
 			continue
@@ -365,7 +363,7 @@
 
 // sendNodes sends the records and loads of nodes, split into datagrams of at most maxNodes
 // and maxLoads each, to the known nodes for which isRecipient returns true; p.mu must be held. The first
-// datagram also carries the crash entries.
+// datagram also carries the checksum of the evidence of crashes.
 func (p *Peers) sendNodes(now timer.Instant, msgKind kind, nodes []Node, loads []load, isRecipient func(*peer) bool) {
 	parts := max((len(nodes)+maxNodes-1)/maxNodes, (len(loads)+maxLoads-1)/maxLoads, 1)
 	var datagrams [][]byte
@@ -380,7 +378,7 @@
 			Parts: uint8(min(parts, math.MaxUint8)),
 		}
 		if part == 0 {
-			m.CrashEntries = p.crashEntries()
+			m.Evidence = p.evidenceSum()
 		}
 		datagrams = append(datagrams, encode(m))
 	}
@@ -399,14 +397,13 @@
 	return all[min(part*size, len(all)):min((part+1)*size, len(all))]
 }
 
-// encode encodes a message of this node with records of nodes and with crash entries;
-// p.mu must be held.
-func (p *Peers) encode(msgKind kind, nodes []Node, crashEntries []crash.Entry) []byte {
+// encodeSelf encodes a heartbeat with the node's own record; p.mu must be held.
+func (p *Peers) encodeSelf() []byte {
 	return encode(message{
-		From:         p.self.Name,
-		Kind:         msgKind,
-		Nodes:        nodes,
-		CrashEntries: crashEntries,
+		From:     p.self.Name,
+		Kind:     kindHeartbeat,
+		Nodes:    []Node{p.self},
+		Evidence: p.evidenceSum(),
 	})
 }
 
@@ -536,24 +533,6 @@
 	}
 }
 
-// Broadcast sends new entries on requests that crash targets at once to the nodes of the
-// local domain and the keepers of the other domains. The other nodes learn the entries
-// from the next heartbeats.
-func (p *Peers) Broadcast(entries []crash.Entry) {
-	if len(entries) == 0 {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	data := p.encode(kindCrash, nil, entries)
-	recipients := p.digestRecipients()
-	for name, o := range p.others {
-		if recipients[name] || o.node.Domain == p.self.Domain {
-			_ = p.transmit(&o.node, kindCrash, data)
-		}
-	}
-}
-
 // sortedNames returns the sorted names of nodes.
 func sortedNames(nodes []Node) []string {
 	out := make([]string, 0, len(nodes))
--- a/internal/mesh/peers/peers_test.go
+++ b/internal/mesh/peers/peers_test.go
@@ -4,14 +4,18 @@
 	"bytes"
 	"context"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"fuchsiapier/internal/admit/crash"
+	"fuchsiapier/internal/admit/poison"
 	"fuchsiapier/internal/base/timer"
 	"fuchsiapier/internal/quota/grant"
 )
@@ -34,6 +38,8 @@
 	bytes int
 	// epochs holds the newest epoch of the store that was reported to a node, by its name.
 	epochs map[string]int64
+	// crashes holds the evidence of crashes on each node, by its name.
+	crashes map[string]*poison.Tracker
 }
 
 // newNetwork starts the nodes d0-n0 and so on, which know each other from records of
@@ -46,6 +52,7 @@
 		addresses:    map[string]string{},
 		sources:      map[string]string{},
 		epochs:       map[string]int64{},
+		crashes:      map[string]*poison.Tracker{},
 	}
 	var all []Node
 	for d := range domains {
@@ -75,10 +82,16 @@
 		Open:        true,
 		Keeper:      name,
 	}
-	p := New(self, func(address string, data []byte) error {
+	var p *Peers
+	crashes := poison.New(func(c crash.Crash) { p.Broadcast(c) }, poison.WithClock(func() timer.Instant {
+		net.mu.Lock()
+		defer net.mu.Unlock()
+		return net.now
+	}))
+	p = New(self, func(address string, data []byte) error {
 		net.deliver(name, address, data)
 		return nil
-	}, WithOnNewerEpoch(func(from Node) {
+	}, WithCrashes(crashes), WithOnNewerEpoch(func(from Node) {
 		net.mu.Lock()
 		defer net.mu.Unlock()
 		net.epochs[name] = max(net.epochs[name], from.StoreEpoch)
@@ -90,6 +103,7 @@
 	net.mu.Lock()
 	defer net.mu.Unlock()
 	net.nodes[name] = p
+	net.crashes[name] = crashes
 	net.addresses[self.MeshAddress()] = name
 	net.sources[name] = self.IP + ":50000"
 	return self
@@ -454,3 +468,80 @@
 		}
 	})
 }
+
+// nodesAware returns the number of nodes that know of a crash during which a request ran.
+func (net *network) nodesAware(f crash.Fingerprint) (n int) {
+	for _, c := range net.crashes {
+		if standing, _ := c.Lookup(f); standing != crash.Clear {
+			n++
+		}
+	}
+	return n
+}
+
+// TestEvidenceOfCrashesReachesAllNodes guards against nodes that never hear of a crash since a datagram was lost, they
+// were cut off or started later, or only the keeper of their failure domain was told.
+func TestEvidenceOfCrashesReachesAllNodes(t *testing.T) {
+	const request = crash.Fingerprint(7)
+	running := make([]crash.Fingerprint, 250)
+	for i := range running {
+		running[i] = request + crash.Fingerprint(i)
+	}
+	lost := func(kinds ...kind) func(from, to string, data []byte) bool {
+		return func(_, _ string, data []byte) bool {
+			var m message
+			return cbor.Unmarshal(data, &m) == nil && slices.Contains(kinds, m.Kind)
+		}
+	}
+	Convey("Given nine nodes in three failure domains", t, func() {
+		net := newNetwork(3, 3)
+		Convey("all know of a crash as soon as the messages have arrived, with all that ran", func() {
+			net.crashes["d0-n1"].RecordCrash(1, running)
+			net.inflight.Wait()
+			So(net.nodesAware(request), ShouldEqual, 9)
+			So(net.nodesAware(request+249), ShouldEqual, 9)
+			_, first := net.crashes["d0-n1"].Sums()
+			_, other := net.crashes["d2-n2"].Sums()
+			So(other, ShouldEqual, first)
+		})
+		Convey("where all datagrams about it were lost, all know soon after", func() {
+			net.lose = lost(kindCrash)
+			net.crashes["d0-n1"].RecordCrash(1, running)
+			net.inflight.Wait()
+			So(net.nodesAware(request), ShouldEqual, 1)
+			net.lose = nil
+			net.run(2 * time.Second)
+			So(net.nodesAware(request), ShouldEqual, 9)
+			So(net.nodesAware(request+249), ShouldEqual, 9)
+		})
+		Convey("nodes that were cut off, and nodes that have started since, know soon after", func() {
+			net.setDisconnected(true, "d1-n0", "d1-n1", "d1-n2", "d2-n0")
+			net.crashes["d0-n1"].RecordCrash(1, running)
+			net.run(2 * time.Second)
+			So(net.nodesAware(request), ShouldEqual, 5)
+			net.setDisconnected(false, "d1-n0", "d1-n1", "d1-n2", "d2-n0")
+			var all []Node
+			for _, p := range net.nodes {
+				all = append(all, p.Self())
+			}
+			net.start(2, 0, 2)
+			net.nodes["d2-n0"].Learn(net.now, all)
+			net.run(3 * time.Second)
+			So(net.nodesAware(request), ShouldEqual, 9)
+		})
+		Convey("nodes that know the same of crashes exchange no more of it", func() {
+			net.crashes["d0-n1"].RecordCrash(1, running)
+			net.run(2 * time.Second)
+			exchanged := 0
+			about := lost(kindCrash, kindCrashPull)
+			net.lose = func(from, to string, data []byte) bool {
+				if about(from, to, data) {
+					exchanged++
+				}
+				return false
+			}
+			net.run(3 * time.Second)
+			So(exchanged, ShouldEqual, 0)
+		})
+	})
+}
--- a/internal/mesh/peers/receive.go
+++ b/internal/mesh/peers/receive.go
@@ -32,9 +32,10 @@
 		p.receiveRequest(address, m)
 	case kindGrant:
 		p.receiveGrant(m)
-	}
-	if len(m.CrashEntries) > 0 {
-		p.mergeCrashEntries(m.From, m.CrashEntries)
+	case kindCrash:
+		p.receiveCrashes(m)
+	case kindCrashPull:
+		p.receiveCrashPull(m)
 	}
 	return nil
 }
@@ -67,6 +68,7 @@
 			epochSource = *n
 		}
 	}
+	p.pullCrashes(now, address, m)
 	if m.Kind == kindDigest {
 		changed = p.receiveDigest(m, received, allKnown) || changed
 		if !allKnown {
@@ -214,7 +216,7 @@
 // or this node is the keeper: it waits to hear which configuration is in force.
 func (p *Peers) announceTo(n *Node) {
 	if n.Domain == p.self.Domain || p.isKeeper() {
-		_ = p.transmit(n, kindHeartbeat, p.encode(kindHeartbeat, []Node{p.self}, nil))
+		_ = p.transmit(n, kindHeartbeat, p.encodeSelf())
 	}
 }
 
--- a/internal/mesh/peers/sent.go
+++ b/internal/mesh/peers/sent.go
@@ -23,15 +23,16 @@
 		kindGrant:     "token-grant",
 		kindCrash:     "crash",
 		kindResend:    "resend",
+		kindCrashPull: "crash-pull",
 	}
 )
 
 // sentBytes counts the bytes of the datagrams that were sent, by kind and reach.
-type sentBytes [kindResend + 1][reachCount]atomic.Uint64
+type sentBytes [kindCrashPull + 1][reachCount]atomic.Uint64
 
 // SentBytes is the number of bytes that were sent in datagrams of one kind.
 type SentBytes struct {
-	// Kind is heartbeat, digest, token-request, token-grant, crash or resend.
+	// Kind is heartbeat, digest, token-request, token-grant, crash, resend or crash-pull.
 	Kind string
 	// Reach is domain, region or far: to the same failure domain, to others of the same
 	// region, or to other regions.
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -18,6 +18,7 @@
 
 	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/admit/graph"
+	"fuchsiapier/internal/admit/poison"
 	"fuchsiapier/internal/admit/retry"
 	"fuchsiapier/internal/base/super"
 	"fuchsiapier/internal/base/timer"
@@ -97,21 +98,21 @@
 	adapter  Adapter
 	log      zerolog.Logger
 	// requestLog is for lines about single requests; it is sampled under load.
-	requestLog   zerolog.Logger
-	stats        *stats.Stats
-	tree         *super.Tree
-	peers        *peers.Peers
-	gate         *gate.Gate
-	watcher      *watch.Watcher
-	links        *remote.Links
-	entry        *entry.Entry
-	leases       *lease.Leases
-	retryTokens  *pool.Pool
-	callers      *httpd.Server
-	calls        *frame.Server
-	crashTracker *crashTracker
-	graph        *graph.Counter
-	retryBudget  *retry.Budget
+	requestLog  zerolog.Logger
+	stats       *stats.Stats
+	tree        *super.Tree
+	peers       *peers.Peers
+	gate        *gate.Gate
+	watcher     *watch.Watcher
+	links       *remote.Links
+	entry       *entry.Entry
+	leases      *lease.Leases
+	retryTokens *pool.Pool
+	callers     *httpd.Server
+	calls       *frame.Server
+	crashes     *poison.Tracker
+	graph       *graph.Counter
+	retryBudget *retry.Budget
 	// lastTrim is when idle connections were last looked for.
 	lastTrim time.Time
 	// targetStartedAt is the start time of the target whose calls are counted, in Unix
@@ -142,7 +143,11 @@
 		lastTrim:   time.Now(),
 	}
 	a.live.Store(&settings)
-	a.crashTracker = newCrashTracker(log, func(entries []crash.Entry) { a.peers.Broadcast(entries) })
+	a.crashes = poison.New(func(c crash.Crash) { a.peers.Broadcast(c) },
+		poison.WithRules(crash.WithTwoCrashes()),
+		poison.WithOnNews(a.logCrash),
+		poison.WithOnCleared(a.logCleared),
+	)
 	if err := a.start(source); err != nil {
 		stop()
 		return nil, nil, err
@@ -163,7 +168,7 @@
 	}
 	var stop func()
 	bodies := httpc.NewBodies(int(a.deploy.MemoryBytes/bodiesDivisor), int(a.deploy.MemoryBytes/bodyDivisor))
-	a.gate, stop = gate.New(a.adapter.Names, gate.WithBodies(bodies), gate.WithOnChange(a.targetChanged), gate.WithCrashTracker(a.crashTracker), gate.WithLog(a.requestLog),
+	a.gate, stop = gate.New(a.adapter.Names, gate.WithBodies(bodies), gate.WithOnChange(a.targetChanged), gate.WithCrashTracker(a.crashes), gate.WithLog(a.requestLog),
 		gate.WithTargetLog(a.log.Sample(a.stats.Sampler())),
 		gate.WithOnWithdraw(a.storeWithdrawals),
 		gate.WithOnRun(func() { a.graph.CountRun(timer.Now()) }))
@@ -211,8 +216,7 @@
 		}
 		a.stats.Counter("fuchsiapier_gate_"+c.Name+"_total", crashCountHelp[c.Name], labels, func() float64 { return float64(c.Read()) })
 	}
-	a.stats.Counter("fuchsiapier_crash_entries_sent_total", "Requests that ran during crashes of this node's target, as told to other nodes at once.", nil, func() float64 { return float64(a.crashTracker.sent.Load()) })
-	a.stats.Counter("fuchsiapier_crash_entries_received_total", "Entries on requests that ran during crashes, as received from other nodes.", nil, func() float64 { return float64(a.crashTracker.received.Load()) })
+	a.stats.Counter("fuchsiapier_crash_evidence_received_total", "Pieces of evidence of crashes that came from other nodes.", nil, func() float64 { return float64(a.crashes.Received()) })
 	register("settings_need_restart", "Settings of the file that take effect with the next start.", func() int { return len(a.reloader.Status().Restart) })
 	register("settings_rejected", "1 if the settings file as it is now was refused.", func() int {
 		if a.reloader.Status().Rejected != "" {
@@ -271,7 +275,7 @@
 		peers.WithOnChange(a.peerChanged),
 		peers.WithOnNewerConfig(func(from peers.Node) { a.fetcher.Hear(from) }),
 		peers.WithOnNewerEpoch(func(from peers.Node) { a.watcher.HearEpoch(from.StoreEpoch, from.Name) }),
-		peers.WithCrashEntries(a.crashTracker.entries, a.crashTracker.merge),
+		peers.WithCrashes(a.crashes),
 		peers.WithTokenGranter(a.grantTokens),
 	)
 	a.leases = lease.New(self.Name, a.peers, a.workspaceLimit)
--- a/internal/node/gate/crash.go
+++ b/internal/node/gate/crash.go
@@ -88,7 +88,7 @@
 	g.targetLog.Warn().Str("target", g.target.ID).Int64("born", g.target.StartedAt).Str("evidence", e.String()).
 		Int64("lost-ms-ago", time.Since(lost[len(lost)-1].at).Milliseconds()).Int("ran", len(lost)).
 		Strs("requests", requests).Msg("target crashed")
-	go g.crashes.RecordCrash(fingerprints)
+	go g.crashes.RecordCrash(crash.NewID(), fingerprints)
 }
 
 // logSuspect logs that a request that is not clear is sent to the target.
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -122,9 +122,9 @@
 // noCrashes suspects no request of crashing targets.
 type noCrashes struct{}
 
-func (noCrashes) Lookup(crash.Fingerprint) (crash.Standing, time.Duration) { return crash.Clear, 0 }
-func (noCrashes) RecordCrash([]crash.Fingerprint)                          {}
-func (noCrashes) RecordSuccess(crash.Fingerprint)                          {}
+func (noCrashes) Lookup(crash.Fingerprint) (crash.Standing, time.Duration)  { return crash.Clear, 0 }
+func (noCrashes) RecordCrash(crash.ID, []crash.Fingerprint) (c crash.Crash) { return c }
+func (noCrashes) RecordSuccess(crash.Fingerprint)                           {}
 
 // WithLog sets the logger for requests that are refused or fail.
 func WithLog(log zerolog.Logger) Option {
--- a/internal/node/gate/gate_test.go
+++ b/internal/node/gate/gate_test.go
@@ -417,10 +417,15 @@
 	return f.standing, time.Minute
 }
 
-func (f *fakeCrashes) RecordCrash(running []crash.Fingerprint) {
+func (f *fakeCrashes) RecordCrash(id crash.ID, running []crash.Fingerprint) crash.Crash {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.crashed = append(f.crashed, running...)
+	return crash.Crash{
+		ID:      id,
+		Ran:     len(running),
+		Running: running,
+	}
 }
 
 func (f *fakeCrashes) RecordSuccess(crash.Fingerprint) {
--- a/internal/node/gate/runs.go
+++ b/internal/node/gate/runs.go
@@ -11,8 +11,9 @@
 type CrashTracker interface {
 	// Lookup returns the standing of a request and how long it lasts.
 	Lookup(f crash.Fingerprint) (crash.Standing, time.Duration)
-	// RecordCrash records that the target crashed while the given requests ran on it.
-	RecordCrash(running []crash.Fingerprint)
+	// RecordCrash records that the target crashed while the given requests ran on it, and returns
+	// the evidence. Several calls with the same ID are about one crash.
+	RecordCrash(id crash.ID, running []crash.Fingerprint) crash.Crash
 	// RecordSuccess records that the target responded to a suspected request.
 	RecordSuccess(f crash.Fingerprint)
 }
--- a/internal/node/model/crash_test.go
+++ b/internal/node/model/crash_test.go
@@ -212,7 +212,7 @@
 	time.AfterFunc(time.Duration(rand.Int64N(int64(maxDetection))), func() {
 		n.waitWhileFrozen()
 		if p != nil && !p.ended.Load() && len(running) > 0 {
-			p.crashes.RecordCrash(running)
+			p.crashes.RecordCrash(crash.NewID(), running)
 		}
 	})
 }
@@ -309,7 +309,6 @@
 	innocent        int
 	innocentRefused int
 	exclusive       int
-	bytes           uint64
 }
 
 // simulateCrashes runs a fleet with crashing requests.
--- a/internal/node/model/node_test.go
+++ b/internal/node/model/node_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"fuchsiapier/internal/admit/crash"
+	"fuchsiapier/internal/admit/poison"
 	"fuchsiapier/internal/base/timer"
 	"fuchsiapier/internal/conf/rules"
 	"fuchsiapier/internal/mesh/peers"
@@ -70,7 +71,7 @@
 	peers   *peers.Peers
 	watcher *watch.Watcher
 	fetcher *fetch.Fetcher
-	crashes *suspects
+	crashes *poison.Tracker
 	// ended says that the process has ended: a call that was in flight has no effect any more.
 	ended atomic.Bool
 	stops []func()
@@ -112,15 +113,13 @@
 		node:  n,
 		reset: make(chan struct{}),
 	}
-	p.crashes = &suspects{
-		process: p,
-		tracker: crash.NewTracker(crash.WithTwoCrashes()),
-	}
+	p.crashes = poison.New(func(c crash.Crash) { p.peers.Broadcast(c) },
+		poison.WithRules(crash.WithTwoCrashes()), poison.WithClock(f.instant))
 	p.peers = peers.New(self, func(address string, data []byte) error {
 		f.deliver(n, address, data)
 		return nil
 	}, peers.WithOnNewerConfig(func(from peers.Node) { p.fetcher.Hear(from) }),
-		peers.WithCrashEntries(p.crashes.entries, p.crashes.merge))
+		peers.WithCrashes(p.crashes))
 	log := zerolog.New(logLine{node: n})
 	var stopWatcher, stopFetcher func()
 	p.watcher, stopWatcher = watch.New(n.name, []byte(n.name), client, view{process: p}, topics, parse, watch.WithLog(log), watch.WithOnApply(p.applied))
