node/call: a request that crashes its targets is the same one wherever it comes in

What callers saw: a request that was refused beside one service still crashed targets when it came in beside another. Change: the fingerprint follows from workspace, method, host, URI and body. A call without a key has no caller but its content.

--- a/internal/node/call/call.go
+++ b/internal/node/call/call.go
@@ -39,8 +39,8 @@
 	Request *msg.Request
 	// Extra holds the header lines that the first node adds, each ended by CRLF.
 	Extra []byte
-	// Origin is the calling service and the workspace, separated by a slash.
-	Origin string
+	// Workspace is the name of the workspace that the request's key belongs to, "" without a key.
+	Workspace string
 	// Deadline is when the request times out.
 	Deadline time.Time
 	// Due is when the response should be back. Queued calls start in the order of
@@ -60,10 +60,10 @@
 	Idempotent bool
 }
 
-// Fingerprint returns the hash of the request's origin, method, host, URI and body,
-// which all attempts of a request have in common.
+// Fingerprint returns the hash of the request's workspace, method, host, URI and body, which
+// all attempts of a request have in common, wherever they come in.
 func (c *Call) Fingerprint() crash.Fingerprint {
-	return crash.FingerprintOf(c.Origin, c.Request.Method, c.Request.Host+c.Request.URI, c.Request.Body)
+	return crash.FingerprintOf(c.Workspace, c.Request.Method, c.Request.Host+c.Request.URI, c.Request.Body)
 }
 
 // Outcome says whether a target responded to a request and whether it may have run.
@@ -202,7 +202,7 @@
 const fieldParts = 6
 
 // DecodeField parses a value of FieldCall that arrived at now. Attempt, Request,
-// Extra and Origin are not part of the field and stay empty. The error says that the
+// Extra and Workspace are not part of the field and stay empty. The error says that the
 // value is malformed.
 func DecodeField(value string, now time.Time) (*Call, error) {
 	parts := strings.Split(value, ",")
--- a/internal/node/call/call_test.go
+++ b/internal/node/call/call_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"fuchsiapier/internal/pipe/msg"
 )
 
 // TestHeaderFields guards against fields that one node writes and another reads
@@ -54,3 +56,31 @@
 		So(after, ShouldEqual, 0)
 	})
 }
+
+// TestFingerprintWhereverARequestComesIn guards against a request that counts as another one, with crashes of its own, where
+// it comes in beside another service, under another attempt or with more or less time left.
+func TestFingerprintWhereverARequestComesIn(t *testing.T) {
+	newCall := func(workspace, uri, body string) *Call {
+		return &Call{
+			Attempt:   "a" + workspace + uri,
+			Workspace: workspace,
+			Extra:     []byte("Caller: " + uri + "\r\n"),
+			Deadline:  time.Now().Add(time.Duration(len(body)) * time.Second),
+			Request: &msg.Request{
+				Method: "POST",
+				Host:   "ledger.example",
+				URI:    uri,
+				Body:   []byte(body),
+			},
+		}
+	}
+	Convey("The fingerprint follows from workspace, method, host, URI and body alone", t, func() {
+		first := newCall("acme", "/landings/1", "bad")
+		second := newCall("acme", "/landings/1", "bad")
+		second.Attempt, second.Extra, second.Deadline, second.Nested = "other", []byte("Caller: quota\r\n"), time.Now(), true
+		So(second.Fingerprint(), ShouldEqual, first.Fingerprint())
+		for _, other := range []*Call{newCall("other", "/landings/1", "bad"), newCall("acme", "/landings/2", "bad"), newCall("acme", "/landings/1", "good")} {
+			So(other.Fingerprint(), ShouldNotEqual, first.Fingerprint())
+		}
+	})
+}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -327,7 +327,7 @@
 		Service:    q.service,
 		Request:    &in.Request,
 		Extra:      extra,
-		Origin:     e.service() + "/" + workspace,
+		Workspace:  workspace,
 		Deadline:   q.deadline(),
 		Due:        q.due(priority),
 		Priority:   priority,
--- a/internal/node/remote/remote.go
+++ b/internal/node/remote/remote.go
@@ -219,7 +219,7 @@
 	}
 	in.Fields = in.Header.Lines(call.FieldCall)
 	c.Attempt = in.Header.Get(r.names.Attempt)
-	c.Origin = in.Header.Get(r.names.Caller) + "/" + in.Header.Get(r.names.Workspace)
+	c.Workspace = in.Header.Get(r.names.Workspace)
 	c.Request = &in.Request
 	return r.encode(r.gate.Serve(ctx, c))
 }
