node/gate: a crash is noticed as its first response is lost, and what is known counts as a request starts

What callers saw: while a crash went unnoticed, the same request, or its next attempt, was sent to the next target; requests that were queued as the word came were sent although it had come. Change: after a lost response the gate opens a connection, once for all responses that are lost together; if it is refused, the crash is recorded before the caller is answered, else the connection serves the next request. Responses lost in one crash count as one crash however they are reported. The standing is looked up again as a request starts: one that is quarantined is refused as not run, one that is suspected is queued again to run alone.

--- a/internal/node/gate/crash.go
+++ b/internal/node/gate/crash.go
@@ -1,11 +1,14 @@
 package gate
 
 import (
+	"context"
+	"errors"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"fuchsiapier/internal/admit/crash"
+	"fuchsiapier/internal/pipe/httpc"
 )
 
 // evidence is what showed that the target has crashed. Its values are metric labels and
@@ -69,26 +72,59 @@
 // maxLoggedRequests bounds the requests that the log line of a crash names.
 const maxLoggedRequests = 64
 
-// reportCrash reports the requests whose responses were lost when the target crashed; g.mu
-// must be held.
-func (g *Gate) reportCrash(e evidence) {
-	lost := g.runs.takeLost()
+// crashReport is a crash of the target and what ran.
+type crashReport struct {
+	id      crash.ID
+	running []crash.Fingerprint
+}
+
+// takeCrash returns the requests whose responses were lost when the target crashed, to be passed
+// to report once g.mu, which must be held, is released.
+func (g *Gate) takeCrash(e evidence) crashReport {
+	id, lost := g.runs.takeLost(time.Now())
 	if len(lost) == 0 {
-		return
+		return crashReport{}
 	}
 	g.crashCounts.crashes[e].Add(1)
-	var fingerprints []crash.Fingerprint
+	r := crashReport{
+		id: id,
+	}
 	var requests []string
 	for _, l := range lost {
-		fingerprints = append(fingerprints, l.fingerprint)
+		r.running = append(r.running, l.fingerprint)
 		if len(requests) < maxLoggedRequests {
 			requests = append(requests, l.attempt+" "+strconv.FormatUint(uint64(l.fingerprint), 16))
 		}
 	}
 	g.targetLog.Warn().Str("target", g.target.ID).Int64("born", g.target.StartedAt).Str("evidence", e.String()).
-		Int64("lost-ms-ago", time.Since(lost[len(lost)-1].at).Milliseconds()).Int("ran", len(lost)).
-		Strs("requests", requests).Msg("target crashed")
-	go g.crashes.RecordCrash(crash.NewID(), fingerprints)
+		Str("crash", strconv.FormatUint(uint64(id), 16)).Int64("lost-ms-ago", time.Since(lost[len(lost)-1].at).Milliseconds()).
+		Int("ran", len(lost)).Strs("requests", requests).Msg("target crashed")
+	return r
+}
+
+// report records a crash, if there was one.
+func (g *Gate) report(r crashReport) {
+	if len(r.running) > 0 {
+		g.crashes.RecordCrash(r.id, r.running)
+	}
+}
+
+// crashSettleTime is how long after a lost response the check for a crash begins, so that all
+// responses that the crash loses are recorded by then.
+const crashSettleTime = 5 * time.Millisecond
+
+// checkCrash finds out, after a response was lost, whether the target has crashed, and records
+// that. Calls at the same time share one check.
+func (g *Gate) checkCrash(target Target, pool *httpc.Pool) {
+	_, _, _ = g.checks.Do(pool.Address(), func() (any, error) {
+		time.Sleep(crashSettleTime)
+		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+		defer cancel()
+		if err := pool.Probe(ctx); errors.Is(err, httpc.ErrRefused) {
+			g.markDown(target)
+		}
+		return nil, nil
+	})
 }
 
 // logSuspect logs that a request that is not clear is sent to the target.
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/singleflight"
 
 	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/admit/limit"
@@ -97,6 +98,8 @@
 	callersFailed decay.Share
 	runs          runs
 	crashCounts   crashCounts
+	// checks are the running checks for crashes of the target, by its address.
+	checks singleflight.Group
 }
 
 // Option configures a Gate.
--- a/internal/node/gate/gate_test.go
+++ b/internal/node/gate/gate_test.go
@@ -408,6 +408,7 @@
 	mu       sync.Mutex
 	standing crash.Standing
 	crashed  []crash.Fingerprint
+	ids      map[crash.ID]bool
 	cleared  int
 }
 
@@ -421,6 +422,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.crashed = append(f.crashed, running...)
+	if f.ids == nil {
+		f.ids = map[crash.ID]bool{}
+	}
+	f.ids[id] = true
 	return crash.Crash{
 		ID:      id,
 		Ran:     len(running),
--- a/internal/node/gate/runs.go
+++ b/internal/node/gate/runs.go
@@ -24,6 +24,9 @@
 	crashWindow = 300 * time.Millisecond
 	// maxLost bounds the number of recorded lost responses.
 	maxLost = 256
+	// lostResponseTime is how long after a response was lost a crash may show. Targets are back
+	// after some seconds and then announce their new start.
+	lostResponseTime = 15 * time.Second
 )
 
 // run is a request that was sent to the target.
@@ -44,6 +47,9 @@
 type runs struct {
 	running map[*limit.Ticket]run
 	lost    []lostResponse
+	// lastCrash is the crash that was reported last, and lastLost when it lost a response last.
+	lastCrash crash.ID
+	lastLost  time.Time
 }
 
 func newRuns() runs {
@@ -72,19 +78,24 @@
 }
 
 // takeLost returns the requests whose responses were lost within crashWindow of the
-// latest lost response. It deletes the record of all lost responses, so that a crash
-// is reported once.
-func (r *runs) takeLost() []lostResponse {
-	if len(r.lost) == 0 {
-		return nil
+// latest lost response, if that is recent, and the ID of the crash that lost them. It deletes the
+// record of all lost responses, so that a crash is reported once; responses that are lost
+// in the same crash later belong to the same ID.
+func (r *runs) takeLost(now time.Time) (id crash.ID, out []lostResponse) {
+	lost := r.lost
+	r.lost = nil
+	if len(lost) == 0 || now.Sub(lost[len(lost)-1].at) > lostResponseTime {
+		return 0, nil
 	}
-	latest := r.lost[len(r.lost)-1].at
-	var out []lostResponse
-	for _, l := range r.lost {
+	latest := lost[len(lost)-1].at
+	for _, l := range lost {
 		if latest.Sub(l.at) <= crashWindow {
 			out = append(out, l)
 		}
 	}
-	r.lost = nil
-	return out
+	if latest.Sub(r.lastLost) > crashWindow {
+		r.lastCrash = crash.NewID()
+	}
+	r.lastLost = latest
+	return r.lastCrash, out
 }
--- a/internal/node/gate/send.go
+++ b/internal/node/gate/send.go
@@ -25,6 +25,7 @@
 		attempt:     c.Attempt,
 		fingerprint: fingerprint,
 	})
+	target, pool := g.target, g.pool
 	g.mu.Unlock()
 	result := g.send(ctx, c)
 	if result.Reached {
@@ -49,6 +50,9 @@
 	woken := g.startQueued()
 	g.mu.Unlock()
 	wake(woken)
+	if result.Reason == call.AnswerLost {
+		g.checkCrash(target, pool)
+	}
 	return result
 }
 
@@ -177,11 +181,12 @@
 // crash.
 func (g *Gate) markDown(target Target) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	if g.target.ID == target.ID {
 		g.downUntil = time.Now().Add(downBackoff)
 	}
-	g.reportCrash(refusedConnection)
+	crashed := g.takeCrash(refusedConnection)
+	g.mu.Unlock()
+	g.report(crashed)
 }
 
 // markMoved closes the gate until the next announcement, after a process other
--- a/internal/node/gate/serve.go
+++ b/internal/node/gate/serve.go
@@ -17,47 +17,77 @@
 // queue, and an idempotent call in flight is aborted. A call in flight that is not
 // idempotent continues to its end.
 func (g *Gate) Serve(ctx context.Context, c *call.Call) call.Result {
-	fingerprint := c.Fingerprint()
-	standing, left := g.crashes.Lookup(fingerprint)
-	if standing == crash.Quarantined {
-		g.crashCounts.refused.Add(1)
-		refused := notRun(call.CrashesTargets, left)
-		g.logFailure(c, refused)
-		return refused
-	}
-	ticket := &limit.Ticket{
-		Priority:  -c.Priority,
-		Nested:    c.Nested,
-		Exclusive: standing == crash.Suspected,
-		Deadline:  toInstant(c.Deadline),
-	}
-	if !c.Due.IsZero() {
-		ticket.Due = toInstant(c.Due)
-	}
 	g.adoptRateLimit(c)
 	offered := time.Now()
-	result, admitted := g.admit(ctx, c, ticket)
-	queued := time.Since(offered)
-	if admitted {
+	result := g.serve(ctx, c, offered)
+	g.mu.Lock()
+	result.Wait = g.wait()
+	result.RateLimit = g.rateLimit
+	result.LoadKnown = true
+	g.mu.Unlock()
+	g.logFailure(c, result)
+	return result
+}
+
+// serve queues a call that arrived at offered and runs it. Where other nodes report meanwhile that
+// it crashes targets, it is queued again to run alone, or refused.
+func (g *Gate) serve(ctx context.Context, c *call.Call, offered time.Time) call.Result {
+	fingerprint := c.Fingerprint()
+	for {
+		standing, left := g.crashes.Lookup(fingerprint)
+		if standing == crash.Quarantined {
+			g.crashCounts.refused.Add(1)
+			refused := notRun(call.CrashesTargets, left)
+			refused.Queued = time.Since(offered)
+			return refused
+		}
+		ticket := newTicket(c, standing)
+		result, admitted := g.admit(ctx, c, ticket)
+		result.Queued = time.Since(offered)
+		if !admitted {
+			return result
+		}
+		if now, _ := g.crashes.Lookup(fingerprint); now == crash.Quarantined || now == crash.Suspected && !ticket.Exclusive {
+			g.release(ticket)
+			continue
+		}
 		if standing != crash.Clear {
 			g.logSuspect(c.Attempt, fingerprint, standing, left, ticket.Exclusive)
 		}
 		if ticket.Exclusive {
 			g.crashCounts.exclusive.Add(1)
 		}
+		queued := result.Queued
 		result = g.run(ctx, c, ticket, fingerprint)
+		result.Queued = queued
+		if standing != crash.Clear && result.Outcome == call.Answered {
+			g.crashes.RecordSuccess(fingerprint)
+		}
+		return result
+	}
+}
+
+// newTicket returns the ticket of a call with the given standing.
+func newTicket(c *call.Call, standing crash.Standing) *limit.Ticket {
+	t := &limit.Ticket{
+		Priority:  -c.Priority,
+		Nested:    c.Nested,
+		Exclusive: standing == crash.Suspected,
+		Deadline:  toInstant(c.Deadline),
 	}
-	if standing != crash.Clear && result.Outcome == call.Answered {
-		g.crashes.RecordSuccess(fingerprint)
+	if !c.Due.IsZero() {
+		t.Due = toInstant(c.Due)
 	}
-	result.Queued = queued
+	return t
+}
+
+// release gives back the slot of a call that was not sent.
+func (g *Gate) release(t *limit.Ticket) {
 	g.mu.Lock()
-	result.Wait = g.wait()
-	result.RateLimit = g.rateLimit
-	result.LoadKnown = true
+	g.limiter.Finish(timer.Now(), t, 0, limit.Neutral)
+	woken := g.startQueued()
 	g.mu.Unlock()
-	g.logFailure(c, result)
-	return result
+	wake(woken)
 }
 
 // logFailure logs a call whose outcome is not Answered or whose response has a 5xx
--- a/internal/node/gate/target.go
+++ b/internal/node/gate/target.go
@@ -65,14 +65,16 @@
 		return false
 	}
 	before := g.stateLocked()
+	var crashed crashReport
 	if g.announced && g.target.StartedAt > 0 && t.StartedAt > g.target.StartedAt {
-		g.reportCrash(newStart)
+		crashed = g.takeCrash(newStart)
 	}
 	g.setTarget(t)
 	after := g.stateLocked()
 	woken := g.startQueued()
 	g.mu.Unlock()
 	wake(woken)
+	g.report(crashed)
 	if before.Target.ID != after.Target.ID || before.Open != after.Open || before.Service != after.Service {
 		g.onChange(after)
 	}
--- a/internal/pipe/httpc/pool.go
+++ b/internal/pipe/httpc/pool.go
@@ -32,6 +32,9 @@
 	maxInterim = 8
 	// maxStale bounds how many responses to earlier requests one exchange skips.
 	maxStale = 2
+	// probeIdleTimeout is how long a connection that was opened to find out whether the peer is up
+	// is kept: the peer may close a connection without requests sooner than others.
+	probeIdleTimeout = 1 * time.Second
 	// readBufferSize is a connection's read buffer, in bytes.
 	readBufferSize = 4 << 10
 )
@@ -176,6 +179,18 @@
 	return resp, nil
 }
 
+// Probe finds out whether the peer accepts connections: it opens one, and keeps it for the next
+// request. Its errors match ErrNotSent or ErrRefused.
+func (p *Pool) Probe(ctx context.Context) error {
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	c.FreshUntil = time.Now().Add(probeIdleTimeout)
+	p.put(c)
+	return nil
+}
+
 // Exchange calls f with an idle or new connection, which is reused afterwards if f
 // returns keep. Errors before f match ErrNotSent or ErrRefused; errors of f are
 // returned as they are. The end of the context closes the connection: an error of
