--- a/internal/node/gate/crash_test.go
+++ b/internal/node/gate/crash_test.go
@@ -142,3 +142,29 @@
 		So(lost, ShouldBeEmpty)
 	})
 }
+
+// TestCrashesInARow guards against crashes of a target that starts again at once, and that count as one.
+func TestCrashesInARow(t *testing.T) {
+	Convey("Responses that are lost together belong to one crash, those after a new start to another", t, func() {
+		r := newRuns()
+		now := time.Now()
+		lose := func() crash.ID {
+			ticket := &limit.Ticket{}
+			r.begin(ticket, run{
+				attempt:     "a",
+				fingerprint: 7,
+			})
+			r.end(now, ticket, true)
+			id, lost := r.takeLost(now)
+			So(lost, ShouldHaveLength, 1)
+			return id
+		}
+		first := lose()
+		So(lose(), ShouldEqual, first)
+		r.restarted()
+		second := lose()
+		So(second, ShouldNotEqual, first)
+		now = now.Add(2 * crashWindow)
+		So(lose(), ShouldNotEqual, second)
+	})
+}
--- a/internal/node/gate/runs.go
+++ b/internal/node/gate/runs.go
@@ -77,6 +77,12 @@
 	})
 }
 
+// restarted records that the target has started again: responses that are lost from now on are lost
+// in another crash.
+func (r *runs) restarted() {
+	r.lastLost = time.Time{}
+}
+
 // takeLost returns the requests whose responses were lost within crashWindow of the
 // latest lost response, if that is recent, and the ID of the crash that lost them. It deletes the
 // record of all lost responses, so that a crash is reported once; responses that are lost
--- a/internal/node/gate/target.go
+++ b/internal/node/gate/target.go
@@ -125,6 +125,7 @@
 		g.failed, g.callersFailed = newFailureRate(), newFailureRate()
 		g.rateLimit, g.rateLimitKnown = 0, false
 		g.limiter.LiftRate()
+		g.runs.restarted()
 	}
 	g.target = t
 	g.announced = true
