node/entry, node/remote: evidence of crashes travels with a request and its result

What callers saw: an idempotent request was sent to its second target before the word of the first crash had come, and so was the caller's next attempt on the same node. Cause: the entry learned of a crash from the nodes' messages only, though it is the first to hear that a response was lost, and the next gate learned of it no sooner; the entry sent quarantined requests on to be refused there. Change: where a response is lost the result says what the gate knows against the request, and the entry keeps it; calls of requests that ran during crashes carry the evidence (field Fp-Crash, dropped from what callers and targets send). The entry refuses a quarantined request itself: 503, not run, token given back. A request that isn't clear is not hedged.

--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -339,6 +339,7 @@
 		Remote:      a.links,
 		Tokens:      a.leases,
 		RetryBudget: a.retryBudget,
+		Crashes:     a.crashes,
 		Graph:       a.graph,
 		Meter:       a.stats,
 		Log:         a.requestLog,
--- a/internal/node/call/call.go
+++ b/internal/node/call/call.go
@@ -58,6 +58,8 @@
 	// Nested marks a call that a target makes while it runs another request.
 	Nested     bool
 	Idempotent bool
+	// Evidence is what the sending node knows of crashes during which the request ran.
+	Evidence []crash.Crash
 }
 
 // Fingerprint returns the hash of the request's workspace, method, host, URI and body, which
@@ -148,6 +150,9 @@
 	Queued time.Duration
 	// Reached says that the request was, or may have been, sent to a target.
 	Reached bool
+	// Evidence is what the gate knows of crashes during which the request ran. It is set where the
+	// response was lost or the request was refused for that.
+	Evidence []crash.Crash
 }
 
 // Flags in the third part of FieldCall.
@@ -202,7 +207,7 @@
 const fieldParts = 6
 
 // DecodeField parses a value of FieldCall that arrived at now. Attempt, Request,
-// Extra and Workspace are not part of the field and stay empty. The error says that the
+// Extra, Workspace and Evidence are not part of the field and stay empty. The error says that the
 // value is malformed.
 func DecodeField(value string, now time.Time) (*Call, error) {
 	parts := strings.Split(value, ",")
--- a/internal/node/entry/dispatch.go
+++ b/internal/node/entry/dispatch.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/conf/rules"
 	"fuchsiapier/internal/mesh/peers"
 	"fuchsiapier/internal/node/call"
@@ -83,6 +84,8 @@
 	retryAfter time.Duration
 	// lastReason is the reason of the last attempt whose outcome was not Answered.
 	lastReason call.Reason
+	// fingerprint identifies the request in evidence of crashes; 0 until it is needed.
+	fingerprint crash.Fingerprint
 	// final says that every other node would refuse the request as well.
 	final bool
 	// serverError is a target's response with a status of 500 or above, passed on where
@@ -177,8 +180,12 @@
 
 // mayHedge reports whether an attempt without a response may be hedged. Where the
 // target often fails and the retry is also charged to the services that it calls, the
-// budget is left to the retries of those calls.
+// budget is left to the retries of those calls. A request that ran during crashes is not
+// sent to two targets at once.
 func (d *dispatcher) mayHedge() bool {
+	if standing, _ := d.standing(); standing != crash.Clear {
+		return false
+	}
 	if !d.entry.retryBudget.ChargesCallees(d.request.service) {
 		return true
 	}
@@ -218,6 +225,11 @@
 // and queues there. launch reports false where no node is left.
 func (d *dispatcher) launch(ctx context.Context) bool {
 	e, q := d.entry, d.request
+	standing, left := d.standing()
+	if standing == crash.Quarantined {
+		d.final, d.lastReason, d.retryAfter = true, call.CrashesTargets, left
+		return false
+	}
 	view := e.fleet.View()
 	nodes := view.Targets(q.service)
 	skip := func(name string) bool { return d.attempted[name] }
@@ -238,6 +250,9 @@
 	c := *q.call
 	c.MaxWait = d.maxWait()
 	c.TargetRateLimit = e.picker.rateLimit(&node)
+	if standing != crash.Clear {
+		c.Evidence = e.crashes.Evidence(d.fingerprint)
+	}
 	e.picker.begin(&node)
 	began := time.Now()
 	go func() {
@@ -251,6 +266,18 @@
 	return true
 }
 
+// standing returns the standing of the request in the evidence of crashes, and how long it lasts.
+func (d *dispatcher) standing() (crash.Standing, time.Duration) {
+	e := d.entry
+	if e.crashes.Empty() {
+		return crash.Clear, 0
+	}
+	if d.fingerprint == 0 {
+		d.fingerprint = d.request.call.Fingerprint()
+	}
+	return e.crashes.Lookup(d.fingerprint)
+}
+
 // isExcluded reports whether a node is left out of the last round. Busy nodes are not.
 func (d *dispatcher) isExcluded(name string) bool {
 	return d.request.excluded[name]
@@ -306,6 +333,9 @@
 func (d *dispatcher) handleResult(a attempt) (resp *msg.Response, done bool) {
 	q := d.request
 	r := a.result
+	if len(r.Evidence) > 0 {
+		d.entry.crashes.Learn(a.node.Name, r.Evidence)
+	}
 	if r.Reached {
 		d.reached++
 		q.sends++
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/base/timer"
 	"fuchsiapier/internal/conf/rules"
 	"fuchsiapier/internal/mesh/peers"
@@ -92,6 +93,18 @@
 	RecordResponse(route string, status int, reason string, took time.Duration)
 }
 
+// Crashes holds the evidence of requests that crash targets.
+type Crashes interface {
+	// Empty reports whether there is none, so that every request is clear.
+	Empty() bool
+	// Lookup returns the standing of a request and how long it lasts.
+	Lookup(f crash.Fingerprint) (crash.Standing, time.Duration)
+	// Evidence returns what is known against a request.
+	Evidence(f crash.Fingerprint) []crash.Crash
+	// Learn merges evidence that came with a result and returns what of it was new.
+	Learn(from string, crashes []crash.Crash) (news []crash.Crash)
+}
+
 // Fleet provides the node's view of the live nodes.
 type Fleet interface {
 	View() *peers.View
@@ -110,6 +123,7 @@
 	remote      Remote
 	tokens      Tokens
 	retryBudget RetryBudget
+	crashes     Crashes
 	graph       Graph
 	meter       Meter
 	log         zerolog.Logger
@@ -139,6 +153,7 @@
 	Remote      Remote
 	Tokens      Tokens
 	RetryBudget RetryBudget
+	Crashes     Crashes
 	Graph       Graph
 	Meter       Meter
 	Log         zerolog.Logger
@@ -149,7 +164,7 @@
 	return &Entry{
 		names: c.Names,
 		filter: msg.NewFilter(c.Names.Deadline, c.Names.Caller, c.Names.Workspace, c.Names.ExpectTarget,
-			fasthttp.HeaderAuthorization, call.FieldCall, call.FieldLoad, call.FieldRefused),
+			fasthttp.HeaderAuthorization, call.FieldCall, call.FieldLoad, call.FieldRefused, call.FieldCrash),
 		service:      c.Service,
 		rules:        c.Rules,
 		freshness:    c.Freshness,
@@ -158,6 +173,7 @@
 		remote:       c.Remote,
 		tokens:       c.Tokens,
 		retryBudget:  c.RetryBudget,
+		crashes:      c.Crashes,
 		graph:        c.Graph,
 		meter:        c.Meter,
 		log:          c.Log,
--- a/internal/node/entry/entry_test.go
+++ b/internal/node/entry/entry_test.go
@@ -11,6 +11,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapier/internal/admit/crash"
+	"fuchsiapier/internal/admit/poison"
 	"fuchsiapier/internal/base/timer"
 	"fuchsiapier/internal/conf/rules"
 	"fuchsiapier/internal/mesh/peers"
@@ -35,6 +37,7 @@
 // fakeFleet is an Entry together with fakes of everything that it depends on. Each fake
 // node responds as its handler does.
 type fakeFleet struct {
+	crashes  *poison.Tracker
 	mu       sync.Mutex
 	peers    *peers.Peers
 	handlers map[string]func(c *call.Call) call.Result
@@ -71,6 +74,7 @@
 	f := &fakeFleet{
 		peers:       peers.New(self, func(string, []byte) error { return nil }),
 		handlers:    map[string]func(c *call.Call) call.Result{},
+		crashes:     poison.New(func(crash.Crash) {}, poison.WithRules(crash.WithTwoCrashes())),
 		tokens:      true,
 		retriesLeft: 100,
 		rules: rules.New(rules.Content{
@@ -99,6 +103,7 @@
 		Remote:      f,
 		Tokens:      f,
 		RetryBudget: f,
+		Crashes:     f.crashes,
 		Graph:       f,
 		Meter:       f,
 		Log:         zerolog.Nop(),
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -128,6 +128,8 @@
 func (noCrashes) Lookup(crash.Fingerprint) (crash.Standing, time.Duration)  { return crash.Clear, 0 }
 func (noCrashes) RecordCrash(crash.ID, []crash.Fingerprint) (c crash.Crash) { return c }
 func (noCrashes) RecordSuccess(crash.Fingerprint)                           {}
+func (noCrashes) Learn(string, []crash.Crash) (n []crash.Crash)             { return n }
+func (noCrashes) Evidence(crash.Fingerprint) []crash.Crash                  { return nil }
 
 // WithLog sets the logger for requests that are refused or fail.
 func WithLog(log zerolog.Logger) Option {
@@ -171,7 +173,7 @@
 func New(names msg.Names, options ...Option) (*Gate, func()) {
 	g := &Gate{
 		names:         names,
-		filter:        msg.NewFilter(call.FieldCall, call.FieldLoad, call.FieldRefused),
+		filter:        msg.NewFilter(call.FieldCall, call.FieldLoad, call.FieldRefused, call.FieldCrash),
 		onChange:      func(State) {},
 		onRun:         func() {},
 		onWithdraw:    func([]Withdrawal) {},
--- a/internal/node/gate/gate_test.go
+++ b/internal/node/gate/gate_test.go
@@ -433,6 +433,10 @@
 	}
 }
 
+func (f *fakeCrashes) Learn(string, []crash.Crash) []crash.Crash { return nil }
+
+func (f *fakeCrashes) Evidence(crash.Fingerprint) []crash.Crash { return nil }
+
 func (f *fakeCrashes) RecordSuccess(crash.Fingerprint) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/node/gate/runs.go
+++ b/internal/node/gate/runs.go
@@ -16,6 +16,10 @@
 	RecordCrash(id crash.ID, running []crash.Fingerprint) crash.Crash
 	// RecordSuccess records that the target responded to a suspected request.
 	RecordSuccess(f crash.Fingerprint)
+	// Learn merges evidence that came with a call and returns what of it was new.
+	Learn(from string, crashes []crash.Crash) (news []crash.Crash)
+	// Evidence returns what is known against a request.
+	Evidence(f crash.Fingerprint) []crash.Crash
 }
 
 const (
--- a/internal/node/gate/send.go
+++ b/internal/node/gate/send.go
@@ -52,6 +52,7 @@
 	wake(woken)
 	if result.Reason == call.AnswerLost {
 		g.checkCrash(target, pool)
+		result.Evidence = g.crashes.Evidence(fingerprint)
 	}
 	return result
 }
--- a/internal/node/gate/serve.go
+++ b/internal/node/gate/serve.go
@@ -33,12 +33,16 @@
 // it crashes targets, it is queued again to run alone, or refused.
 func (g *Gate) serve(ctx context.Context, c *call.Call, offered time.Time) call.Result {
 	fingerprint := c.Fingerprint()
+	if len(c.Evidence) > 0 {
+		g.crashes.Learn("calling node", c.Evidence)
+	}
 	for {
 		standing, left := g.crashes.Lookup(fingerprint)
 		if standing == crash.Quarantined {
 			g.crashCounts.refused.Add(1)
 			refused := notRun(call.CrashesTargets, left)
 			refused.Queued = time.Since(offered)
+			refused.Evidence = g.crashes.Evidence(fingerprint)
 			return refused
 		}
 		ticket := newTicket(c, standing)
--- a/internal/node/remote/remote.go
+++ b/internal/node/remote/remote.go
@@ -111,10 +111,13 @@
 	forwarded := *c
 	forwarded.Deadline = c.Deadline.Add(-l.returnMargin(&to))
 	extra := msg.AppendField(c.Extra, call.FieldCall, forwarded.EncodeField(time.Now()))
+	if known := call.EncodeEvidence(c.Evidence); known != "" {
+		extra = msg.AppendField(extra, call.FieldCrash, known)
+	}
 	answer, err := l.client(&to).Do(ctx, c.Request, extra)
 	switch {
 	case err == nil:
-		return l.decode(answer, c.Attempt)
+		return l.decode(answer, c)
 	case errors.Is(err, httpc.ErrRefused), errors.Is(err, httpc.ErrNotSent):
 		return call.Result{
 			Outcome: call.NotRun,
@@ -139,14 +142,14 @@
 // other status that the outcome is unknown. All other responses come from the
 // target; the echo of the attempt's ID, which the receiving node left out, is added
 // to them again.
-func (l *Links) decode(a *frame.Answer, attempt string) call.Result {
+func (l *Links) decode(a *frame.Answer, c *call.Call) call.Result {
 	r := call.DecodeLoad(a.Header.Get(call.FieldLoad))
 	refused := a.Header.Get(call.FieldRefused)
 	if refused == "" {
 		r.Outcome = call.Answered
 		r.Answer = &msg.Response{
 			Status: a.Status,
-			Fields: msg.AppendField(a.Header.Lines(call.FieldLoad), l.attempt, attempt),
+			Fields: msg.AppendField(a.Header.Lines(call.FieldLoad), l.attempt, c.Attempt),
 			Body:   a.Body,
 		}
 		r.Reached = true
@@ -154,6 +157,9 @@
 		return r
 	}
 	r.Reason, r.RetryAfter = call.DecodeRefused(refused)
+	if known := a.Header.Get(call.FieldCrash); known != "" {
+		r.Evidence = call.DecodeEvidence(known, c.Fingerprint())
+	}
 	r.Outcome = call.NotRun
 	r.Reached = r.Reason == call.Shed || r.Reason == call.TargetMoved
 	if a.Status != fasthttp.StatusServiceUnavailable {
@@ -217,10 +223,13 @@
 	if err != nil {
 		return msg.Plain(fasthttp.StatusBadRequest, err.Error())
 	}
-	in.Fields = in.Header.Lines(call.FieldCall)
+	in.Fields = in.Header.Lines(call.FieldCall, call.FieldCrash)
 	c.Attempt = in.Header.Get(r.names.Attempt)
 	c.Workspace = in.Header.Get(r.names.Workspace)
 	c.Request = &in.Request
+	if known := in.Header.Get(call.FieldCrash); known != "" {
+		c.Evidence = call.DecodeEvidence(known, c.Fingerprint())
+	}
 	return r.encode(r.gate.Serve(ctx, c))
 }
 
@@ -250,6 +259,9 @@
 	default:
 		out = gateResponse(fasthttp.StatusBadGateway, result)
 	}
+	if known := call.EncodeEvidence(result.Evidence); known != "" {
+		out = out.With(call.FieldCrash, known)
+	}
 	if load := call.EncodeLoad(result); load != "" {
 		out = out.With(call.FieldLoad, load)
 	}
--- a/internal/node/remote/remote_test.go
+++ b/internal/node/remote/remote_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/mesh/peers"
 	"fuchsiapier/internal/node/call"
 	"fuchsiapier/internal/pipe/frame"
@@ -162,3 +163,63 @@
 		So(r.TargetLeaving, ShouldBeFalse)
 	})
 }
+
+// echoGate answers with the evidence of the call, and keeps the call.
+type echoGate struct {
+	last *call.Call
+}
+
+func (g *echoGate) Serve(_ context.Context, c *call.Call) call.Result {
+	g.last = c
+	return call.Result{
+		Outcome:  call.Unknown,
+		Reason:   call.AnswerLost,
+		Reached:  true,
+		Evidence: c.Evidence,
+	}
+}
+
+// TestEvidenceTravels guards against evidence of crashes that is lost or changed between nodes, that names another
+// request, or that reaches the target.
+func TestEvidenceTravels(t *testing.T) {
+	Convey("What the calling node knows against a request reaches the gate, and the reverse", t, func() {
+		bodies := httpc.NewBodies(1<<20, 1<<20)
+		gate := &echoGate{}
+		links, to := serve(t, NewReceiver(gate, msg.Names{Attempt: "X-Id", Workspace: "X-Workspace"}, func() []byte { return nil }), bodies)
+		c := &call.Call{
+			Attempt:   "a1",
+			Service:   "quota",
+			Workspace: "acme",
+			Extra:     []byte("X-Workspace: acme\r\n"),
+			Deadline:  time.Now().Add(10 * time.Second),
+			Due:       time.Now().Add(time.Second),
+			Request: &msg.Request{
+				Method:  "POST",
+				URI:     "/x?y=1",
+				Host:    "h",
+				Body:    []byte("bad"),
+				HasBody: true,
+			},
+		}
+		for id := range crash.ID(3) {
+			c.Evidence = append(c.Evidence, crash.Crash{
+				ID:        id + 1<<63,
+				AgeMillis: 1200,
+				Ran:       40,
+				Running:   []crash.Fingerprint{c.Fingerprint()},
+			})
+		}
+		r := links.Send(context.Background(), to, c)
+		So(gate.last.Fingerprint(), ShouldEqual, c.Fingerprint())
+		So(gate.last.Evidence, ShouldResemble, c.Evidence)
+		So(strings.ToLower(string(gate.last.Request.Fields)), ShouldNotContainSubstring, "fp-crash")
+		So(r.Evidence, ShouldResemble, c.Evidence)
+	})
+	Convey("Malformed evidence is left out", t, func() {
+		for _, text := range []string{"", "1", "x:1:1", "1:0:1", "1:1:-4", "1:1:1:1", "1:1:99999999999999999999"} {
+			So(call.DecodeEvidence(text, 1), ShouldBeEmpty)
+		}
+		So(call.DecodeEvidence("1:1:1,,x,2:1:1", 1), ShouldHaveLength, 2)
+		So(len(call.DecodeEvidence(strings.Repeat("1:1:1,", 100), 1)), ShouldBeLessThan, 10)
+	})
+}
