node/entry: exclusive runs of a suspected request follow each other at one target

What callers saw: a suspected request that came in at several nodes at once ended a target of each, since each had its exclusive run. Cause: an exclusive run is alone on its target, not in the fleet. Change: all entries send a suspected request to the same target, by rendezvous hashing of its fingerprint; the first crash there quarantines it for those that wait. Different suspects go to different targets.

--- a/internal/node/entry/crash_test.go
+++ b/internal/node/entry/crash_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"fuchsiapier/internal/admit/crash"
+	"fuchsiapier/internal/mesh/peers"
 	"fuchsiapier/internal/node/call"
 )
 
@@ -61,3 +63,52 @@
 		})
 	})
 }
+
+// TestSuspectedRequestsMeetAtOneTarget guards against a suspected request that comes in at several nodes at once, and
+// gets an exclusive run, and perhaps a crash, at a target of each of them.
+func TestSuspectedRequestsMeetAtOneTarget(t *testing.T) {
+	never := func(string) bool { return false }
+	Convey("All nodes send a suspected request to the same target, and the next one if that refuses it", t, func() {
+		targets := []peers.Node{node("a", "d1", "r1"), node("b", "d1", "r1"), node("c", "d2", "r1"), node("e", "d3", "r2")}
+		chosen, second := map[string]bool{}, map[string]bool{}
+		for _, from := range targets {
+			p := newPicker(from.Name, from.Domain, from.Region)
+			first, ok := p.trial(time.Now(), targets, 7, never, never)
+			So(ok, ShouldBeTrue)
+			chosen[first.Name] = true
+			next, ok := p.trial(time.Now(), targets, 7, never, func(name string) bool { return name == first.Name })
+			So(ok, ShouldBeTrue)
+			second[next.Name] = true
+		}
+		So(chosen, ShouldHaveLength, 1)
+		So(second, ShouldHaveLength, 1)
+		spread := map[string]bool{}
+		for f := range crash.Fingerprint(50) {
+			first, _ := newPicker("a", "d1", "r1").trial(time.Now(), targets, f, never, never)
+			spread[first.Name] = true
+		}
+		So(spread, ShouldHaveLength, len(targets))
+	})
+	Convey("The entry sends a suspected request there, also where another target is nearer", t, func() {
+		f := newFakeFleet()
+		var last *call.Call
+		for _, name := range []string{"home", "other", "third"} {
+			f.handlers[name] = func(c *call.Call) call.Result {
+				last = c
+				return respondWith(200)(c)
+			}
+		}
+		f.get("/safe/1", "secret")
+		suspected := last.Fingerprint()
+		for id := range crash.ID(2) {
+			f.crashes.Learn("third", []crash.Crash{{ID: id + 1, Ran: 4, Running: []crash.Fingerprint{suspected}}})
+		}
+		want, _ := f.entry.picker.trial(time.Now(), f.View().Targets("quota"), suspected, never, never)
+		for range 5 {
+			So(f.get("/safe/1", "secret").Status, ShouldEqual, 200)
+		}
+		for _, name := range f.attempts()[1:] {
+			So(name, ShouldEqual, want.Name)
+		}
+	})
+}
--- a/internal/node/entry/dispatch.go
+++ b/internal/node/entry/dispatch.go
@@ -233,7 +233,7 @@
 	view := e.fleet.View()
 	nodes := view.Targets(q.service)
 	skip := func(name string) bool { return d.attempted[name] }
-	node, ok := e.picker.best(time.Now(), nodes, d.profile(), view.Suspect, skip)
+	node, ok := d.pick(nodes, view, standing, skip)
 	if !ok || d.refusals >= maxRefusals {
 		if d.lastRound || d.refusals == 0 || d.reached > 0 {
 			return false
@@ -266,6 +266,17 @@
 	return true
 }
 
+// pick returns the node for the next attempt, and false where there is none.
+func (d *dispatcher) pick(nodes []peers.Node, view *peers.View, standing crash.Standing, skip func(name string) bool) (peers.Node, bool) {
+	picker := d.entry.picker
+	if standing == crash.Suspected {
+		if n, ok := picker.trial(time.Now(), nodes, d.fingerprint, view.Suspect, skip); ok {
+			return n, true
+		}
+	}
+	return picker.best(time.Now(), nodes, d.profile(), view.Suspect, skip)
+}
+
 // standing returns the standing of the request in the evidence of crashes, and how long it lasts.
 func (d *dispatcher) standing() (crash.Standing, time.Duration) {
 	e := d.entry
--- a/internal/node/entry/picker.go
+++ b/internal/node/entry/picker.go
@@ -3,10 +3,13 @@
 import (
 	"math"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/mesh/peers"
+	"fuchsiapier/internal/mesh/rank"
 	"fuchsiapier/internal/node/call"
 )
 
@@ -191,6 +194,28 @@
 	return nodes[best], true
 }
 
+// trial returns the node to which all entries send a suspected request, chosen by rendezvous hashing
+// among those that best considers, and false where there is none: its exclusive runs then follow each
+// other, and the first crash ends them.
+func (p *picker) trial(now time.Time, nodes []peers.Node, f crash.Fingerprint, suspect, skip func(name string) bool) (peers.Node, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	byName := map[string]peers.Node{}
+	var names []string
+	for i := range nodes {
+		n := &nodes[i]
+		if skip(n.Name) || suspect(n.Name) || p.targetStats(n).leaving(now) {
+			continue
+		}
+		byName[n.Name] = *n
+		names = append(names, n.Name)
+	}
+	if len(names) == 0 {
+		return peers.Node{}, false
+	}
+	return byName[rank.Best(strconv.FormatUint(uint64(f), 16), names)], true
+}
+
 // baselineFailureRate returns the median of the failure rates that the nodes gossip.
 // Only the excess over it is attributed to a target itself, since failures of services
 // that the targets call affect all of them alike.
--- a/internal/node/model/crash_test.go
+++ b/internal/node/model/crash_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"fuchsiapier/internal/admit/crash"
+	"fuchsiapier/internal/mesh/rank"
 )
 
 const (
@@ -132,10 +133,11 @@
 	return w
 }
 
-// pick returns the node beside a target of a service that an entry sends to: one of its own failure
-// domain if there is one.
-func (w *workload) pick(from *node, service int) *node {
+// pick returns the node beside a target of a service that an entry sends to: as node/entry does, the same
+// one from everywhere for a suspected request, else one of its own failure domain if there is one.
+func (w *workload) pick(from *node, service int, f crash.Fingerprint, suspected bool) *node {
 	var near, far []*node
+	var names []string
 	for i, n := range w.fleet.nodes {
 		switch {
 		case i%services != service || !n.up() || !w.targets[n.name].up() || !w.fleet.reaches(from, n) || !w.fleet.reaches(n, from):
@@ -145,6 +147,12 @@
 			far = append(far, n)
 		}
 	}
+	for _, n := range append(slices.Clone(near), far...) {
+		names = append(names, n.name)
+	}
+	if suspected && len(names) > 0 {
+		return w.fleet.byName[rank.Best(strconv.FormatUint(uint64(f), 16), names)]
+	}
 	if len(near) > 0 {
 		return near[rand.IntN(len(near))]
 	}
@@ -161,11 +169,12 @@
 	if entry == nil {
 		return
 	}
-	if standing, _ := entry.crashes.Lookup(f); standing == crash.Quarantined {
+	standing, _ := entry.crashes.Lookup(f)
+	if standing == crash.Quarantined {
 		w.countRefusal(f, deadly)
 		return
 	}
-	to := w.pick(from, service)
+	to := w.pick(from, service, f, standing == crash.Suspected)
 	if to == nil {
 		return
 	}
@@ -456,3 +465,14 @@
 		disturbances: 2,
 	}, 0, 2)
 }
+
+// TestCrashingRequestAtOnce guards against a request that comes in at several nodes at once and ends a target of each, again and
+// again. Three may meet it before any word has spread, and one more in the exclusive run.
+func TestCrashingRequestAtOnce(t *testing.T) {
+	runCrashes(t, crashPlan{
+		deadly: 2,
+		minGap: 700 * time.Millisecond,
+		maxGap: 5 * time.Second,
+		burst:  true,
+	}, crashesAimed+1, 4)
+}
