node/agent: the evidence against a quarantined request is stored

What callers saw: after all nodes were restarted at once, a request that had been refused crashed targets again. Cause: what the fleet knew of it lived in the nodes' memory alone. Change: a node beside a target that the request crashed stores the evidence against quarantined requests under its own key as one is convicted, in the background and again until the store has taken it; nodes read it at their start with the records of the others. The record's age is taken from the time of day, which may be off by seconds where minutes count. Remains: a conviction less than a write older than the loss of all nodes, or while the store is away, is lost with them.

--- a/internal/admit/poison/poison.go
+++ b/internal/admit/poison/poison.go
@@ -4,6 +4,7 @@
 package poison
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,8 +36,13 @@
 	received  atomic.Uint64
 	mu        sync.Mutex
 	tracker   *crash.Tracker
+	// own holds the crashes that were recorded on this node, the oldest first.
+	own []crash.ID
 }
 
+// maxOwn bounds the crashes that are remembered as recorded on this node.
+const maxOwn = 256
+
 // Option configures a Tracker.
 type Option func(*Tracker)
 
@@ -110,6 +116,11 @@
 // on it. It sends the evidence to the peers and returns it. Several calls with the same ID are
 // about one crash.
 func (t *Tracker) RecordCrash(id crash.ID, running []crash.Fingerprint) crash.Crash {
+	t.mu.Lock()
+	if !slices.Contains(t.own, id) {
+		t.own = append(t.own[max(len(t.own)+1-maxOwn, 0):], id)
+	}
+	t.mu.Unlock()
 	var c crash.Crash
 	t.learn(Here, running, func(now timer.Instant) crash.Crash {
 		c = t.tracker.RecordCrash(now, id, running)
@@ -119,6 +130,19 @@
 	return c
 }
 
+// Own reports whether one of the crashes during which a request ran was recorded on this node.
+func (t *Tracker) Own(f crash.Fingerprint) bool {
+	for _, c := range t.Evidence(f) {
+		t.mu.Lock()
+		own := slices.Contains(t.own, c.ID)
+		t.mu.Unlock()
+		if own {
+			return true
+		}
+	}
+	return false
+}
+
 // Learn merges evidence from the named peer and returns what of it was new. It does not send it on.
 func (t *Tracker) Learn(from string, crashes []crash.Crash) (news []crash.Crash) {
 	for _, c := range crashes {
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -145,7 +145,7 @@
 	a.live.Store(&settings)
 	a.crashes = poison.New(func(c crash.Crash) { a.peers.Broadcast(c) },
 		poison.WithRules(crash.WithTwoCrashes()),
-		poison.WithOnNews(a.logCrash),
+		poison.WithOnNews(a.crashKnown),
 		poison.WithOnCleared(a.logCleared),
 	)
 	if err := a.start(source); err != nil {
@@ -316,7 +316,7 @@
 		watch.WithLog(a.log),
 		watch.WithOnApply(a.configApplied),
 		watch.WithOnCaughtUp(a.stats.RecordCaughtUp),
-		watch.WithOwnKeys(withdrawnPrefix+a.deploy.Node),
+		watch.WithOwnKeys(withdrawnPrefix+a.deploy.Node, crashesPrefix+a.deploy.Node),
 	)
 	a.watcher = watcher
 	a.tree.Cleanup(stop)
@@ -624,6 +624,10 @@
 		if r.Value == nil {
 			continue
 		}
+		if strings.HasPrefix(r.Key, crashesPrefix) {
+			f.agent.restoreCrashes(r)
+			continue
+		}
 		if node, ok := strings.CutPrefix(r.Key, withdrawnPrefix); ok {
 			if node == f.agent.deploy.Node {
 				f.agent.restoreWithdrawals(r.Value)
--- a/test/crashing_test.go
+++ b/test/crashing_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"fuchsiapier/platform"
 )
 
 // maxCrashes is how many servers a request may crash until it is refused everywhere.
@@ -61,3 +63,45 @@
 		So(refused, ShouldBeGreaterThanOrEqualTo, 3*len(c.vms)-maxCrashes)
 	})
 }
+
+// hasStoredCrashes reports whether a node has stored what it knows of crashes.
+func (c *cluster) hasStoredCrashes() bool {
+	for _, v := range c.vms {
+		if c.store.Newest(platform.StoreTopics.Nodes, "crashes/"+v.name) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// TestServeCrashingRequestAfterRestart guards against a request that crashes servers anew since all nodes, which
+// alone knew of it, were restarted at the same time.
+func TestServeCrashingRequestAfterRestart(t *testing.T) {
+	c := newClusterOf(t, 2)
+	Convey("A request that was refused for crashing servers is refused after all nodes were killed and started again", t, func() {
+		crashes := 0
+		c.waitFor("it is refused", func() bool {
+			status, body, crashed := c.sendCrashing(c.vms[crashes%len(c.vms)])
+			crashes += crashed
+			return status == http.StatusServiceUnavailable && strings.Contains(body, "crashes-targets")
+		})
+		So(crashes, ShouldBeLessThanOrEqualTo, maxCrashes)
+		c.waitFor("that is stored", c.hasStoredCrashes)
+		for _, v := range c.vms {
+			v.kill()
+		}
+		for _, v := range c.vms {
+			v.startNode()
+		}
+		for _, v := range c.vms {
+			c.waitFor("node is ready", v.ready)
+			c.waitFor("whole path works", func() bool { return v.requestStatus(http.MethodGet, "/safe/", "key-1") == http.StatusOK })
+		}
+		for _, v := range c.vms {
+			status, body, crashed := c.sendCrashing(v)
+			So(crashed, ShouldEqual, 0)
+			So(status, ShouldEqual, http.StatusServiceUnavailable)
+			So(body, ShouldContainSubstring, "crashes-targets")
+		}
+	})
+}
