admit/crash: fingerprints can't be forged

Cause: FNV-1a can be inverted, so that a workspace could make a request with the fingerprint of another one's, crash targets with it and have that one refused.

--- a/internal/admit/crash/crash.go
+++ b/internal/admit/crash/crash.go
@@ -8,7 +8,8 @@
 package crash
 
 import (
-	"hash/fnv"
+	"crypto/sha256"
+	"encoding/binary"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -32,15 +33,17 @@
 // since a caller may retry the request with another.
 type Fingerprint uint64
 
-// FingerprintOf returns the fingerprint of a request, an FNV-1a hash of the arguments.
+// FingerprintOf returns the fingerprint of a request, the first bytes of a SHA-256 hash of the
+// arguments. The hash is a cryptographic one so that no workspace can make a request that counts as
+// another one's, crash targets with it and have that one refused.
 func FingerprintOf(workspace, method, path string, body []byte) Fingerprint {
-	h := fnv.New64a()
+	h := sha256.New()
 	for _, part := range []string{workspace, method, path} {
+		_, _ = h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(part))))
 		_, _ = h.Write([]byte(part))
-		_, _ = h.Write([]byte{0})
 	}
 	_, _ = h.Write(body)
-	return Fingerprint(h.Sum64())
+	return Fingerprint(binary.BigEndian.Uint64(h.Sum(nil)))
 }
 
 // ID identifies a crash.
--- a/internal/admit/crash/crash_test.go
+++ b/internal/admit/crash/crash_test.go
@@ -182,3 +182,21 @@
 		}
 	})
 }
+
+// TestFingerprintKeepsPartsApart guards against requests of two workspaces with one fingerprint, since a part of one
+// continues in the next.
+func TestFingerprintKeepsPartsApart(t *testing.T) {
+	Convey("Moving bytes from one part to the next changes the fingerprint", t, func() {
+		prints := map[Fingerprint]bool{}
+		for _, f := range []Fingerprint{
+			FingerprintOf("ab", "c", "d", []byte("e")),
+			FingerprintOf("a", "bc", "d", []byte("e")),
+			FingerprintOf("ab", "c", "de", nil),
+			FingerprintOf("ab", "cd", "", []byte("e")),
+			FingerprintOf("ab\x00c", "", "d", []byte("e")),
+		} {
+			prints[f] = true
+		}
+		So(prints, ShouldHaveLength, 5)
+	})
+}
