pipe/httpc, node/remote: idle connections are replaced as one turns out to be silent

Cause: a lost request closed its own connection only; the others that had gone silent with it stayed in the pools, to this node and to others, and each lost a request of its own, again half a second later. Ruled out: a shorter TCP user timeout (one lost packet would break a connection: the kernel sends it again after 200 ms at the earliest); a check sooner than 250 ms (kernels delay acknowledgements by up to 200 ms; with 1 ms the test saw false alarms). Change: 250 ms after a request was sent the pool asks the kernel whether its bytes were acknowledged. If not, idle connections on which nothing was answered since are closed, to all nodes; the request itself is awaited as before.

--- a/internal/node/remote/remote.go
+++ b/internal/node/remote/remote.go
@@ -73,7 +73,12 @@
 		if to.Region != l.self.Region {
 			ackTimeout = crossRegionAckTimeout
 		}
-		c = frame.NewClient(address, dialTimeout, ackTimeout, l.bodies, l.attempt, call.FieldCall)
+		options := []httpc.Option{
+			httpc.WithDialTimeout(dialTimeout),
+			httpc.WithTCPUserTimeout(ackTimeout),
+			httpc.WithOnSilence(l.closeUnproven),
+		}
+		c = frame.NewClient(address, options, l.bodies, l.attempt, call.FieldCall)
 		l.clients[address] = c
 	}
 	return c
@@ -93,6 +98,16 @@
 	}
 }
 
+// closeUnproven closes the idle connections to all nodes on which none has answered since a point in
+// time: a connection to one of them has been silent from then on.
+func (l *Links) closeUnproven(since time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.clients {
+		c.CloseUnproven(since)
+	}
+}
+
 func (l *Links) close() {
 	l.Trim(time.Now(), nil)
 }
--- a/internal/node/remote/remote_test.go
+++ b/internal/node/remote/remote_test.go
@@ -223,3 +223,28 @@
 		So(len(call.DecodeEvidence(strings.Repeat("1:1:1,", 100), 1)), ShouldBeLessThan, 10)
 	})
 }
+
+// TestSilenceCastsDoubtOnOtherNodes guards against requests that are lost at one node after another, since the open
+// connections to all of them have gone silent at the same moment.
+func TestSilenceCastsDoubtOnOtherNodes(t *testing.T) {
+	Convey("As one connection turns out to be silent, those to other nodes are replaced, unless they have answered since", t, func() {
+		bodies := httpc.NewBodies(1<<20, 1<<20)
+		links, one := serve(t, NewReceiver(nil, names, func() []byte { return []byte("7") }), bodies)
+		_, two := serve(t, NewReceiver(nil, names, func() []byte { return []byte("7") }), bodies)
+		fetch := func(to peers.Node) {
+			_, err := links.client(&to).Do(context.Background(), &msg.Request{
+				Method: "GET",
+				URI:    RulesPath,
+			}, nil)
+			So(err, ShouldBeNil)
+		}
+		fetch(one)
+		since := time.Now()
+		fetch(two)
+		links.closeUnproven(since)
+		fetch(one)
+		fetch(two)
+		So(links.client(&one).Dials(), ShouldEqual, 2)
+		So(links.client(&two).Dials(), ShouldEqual, 1)
+	})
+}
--- a/internal/pipe/frame/bench_test.go
+++ b/internal/pipe/frame/bench_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"fuchsiapier/internal/pipe/httpc"
 	"fuchsiapier/internal/pipe/msg"
 )
 
@@ -20,7 +21,7 @@
 		b.Fatal(err)
 	}
 	defer stop()
-	c := NewClient(s.Address(), time.Second, time.Second, testBodies(), "X-Id")
+	c := NewClient(s.Address(), []httpc.Option{httpc.WithDialTimeout(time.Second), httpc.WithTCPUserTimeout(time.Second)}, testBodies(), "X-Id")
 	defer c.Close()
 	r := request("6366cff5387c3798")
 	b.ReportAllocs()
--- a/internal/pipe/frame/client.go
+++ b/internal/pipe/frame/client.go
@@ -22,12 +22,11 @@
 	neverIndexed []string
 }
 
-// NewClient returns a client for the node at an address (ip:port). userTimeout is
-// the TCP user timeout: how long sent bytes may stay unacknowledged before the
-// connection is considered broken. bodies bounds the memory of frames. neverIndexed names fields whose values never
+// NewClient returns a client for the node at an address (ip:port), whose connections have the given
+// options. bodies bounds the memory of frames. neverIndexed names fields whose values never
 // repeat; they stay out of the dynamic tables.
-func NewClient(address string, dialTimeout, userTimeout time.Duration, bodies *httpc.Bodies, neverIndexed ...string) *Client {
-	pool, _ := httpc.New(address, httpc.WithDialTimeout(dialTimeout), httpc.WithTCPUserTimeout(userTimeout))
+func NewClient(address string, options []httpc.Option, bodies *httpc.Bodies, neverIndexed ...string) *Client {
+	pool, _ := httpc.New(address, options...)
 	return &Client{
 		Pool:         pool,
 		bodies:       bodies,
--- a/internal/pipe/frame/frame_test.go
+++ b/internal/pipe/frame/frame_test.go
@@ -46,7 +46,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(stop)
-	c := NewClient(s.Address(), time.Second, time.Second, testBodies(), "X-Id")
+	c := NewClient(s.Address(), []httpc.Option{httpc.WithDialTimeout(time.Second), httpc.WithTCPUserTimeout(time.Second)}, testBodies(), "X-Id")
 	t.Cleanup(c.Close)
 	return s, c
 }
--- a/internal/pipe/httpc/pool.go
+++ b/internal/pipe/httpc/pool.go
@@ -62,6 +62,8 @@
 	// State holds what the protocol on the connection keeps between exchanges; nil at
 	// first.
 	State any
+	// provenAt is when the peer last answered on the connection, or when it was opened.
+	provenAt time.Time
 	// FreshUntil is when the idle connection expires, shortly before the peer closes
 	// it. Each exchange sets it.
 	FreshUntil time.Time
@@ -75,6 +77,9 @@
 	// userTimeout is the TCP user timeout (RFC 5482): how long sent bytes may stay
 	// unacknowledged.
 	userTimeout time.Duration
+	// silenceCheck is how long after a request was sent its bytes are expected to be acknowledged.
+	silenceCheck time.Duration
+	onSilence    func(since time.Time)
 	// attempt names the header field in which peers echo a request's attempt ID.
 	attempt string
 	filter  msg.Filter
@@ -105,6 +110,23 @@
 	}
 }
 
+// WithSilenceCheck sets after which time a request whose bytes are not acknowledged shows that its
+// connection is silent, and casts doubt on the others to the peer. The default is 250 ms, more than
+// kernels delay acknowledgements.
+func WithSilenceCheck(d time.Duration) Option {
+	return func(p *Pool) {
+		p.silenceCheck = d
+	}
+}
+
+// WithOnSilence sets a function that is called when a connection turns out to be silent, with the time
+// since when it is: connections to other peers may have gone silent with it.
+func WithOnSilence(f func(since time.Time)) Option {
+	return func(p *Pool) {
+		p.onSilence = f
+	}
+}
+
 // WithAttemptHeader sets the header field in which peers echo the attempt ID of a
 // request.
 func WithAttemptHeader(name string) Option {
@@ -136,7 +158,10 @@
 		address:     address,
 		dialTimeout: 500 * time.Millisecond,
 		userTimeout: 3 * time.Second,
-		bodies:      NewBodies(defaultBodies, defaultBodies),
+
+		silenceCheck: minSilenceCheck,
+		onSilence:    func(time.Time) {},
+		bodies:       NewBodies(defaultBodies, defaultBodies),
 	}
 	for _, opt := range options {
 		opt(p)
@@ -218,7 +243,9 @@
 	stop := context.AfterFunc(ctx, func() {
 		_ = c.Close()
 	})
+	check := p.checkSilence(c)
 	keep, err := f(c)
+	check.Stop()
 	if !stop() {
 		_ = c.Close()
 		if err == nil {
@@ -230,6 +257,7 @@
 		_ = c.Close()
 		return err
 	}
+	c.provenAt = time.Now()
 	p.put(c)
 	return nil
 }
@@ -364,8 +392,9 @@
 	p.dials++
 	p.mu.Unlock()
 	return &Conn{
-		Conn:   c,
-		Reader: bufio.NewReaderSize(c, readBufferSize),
+		Conn:     c,
+		provenAt: time.Now(),
+		Reader:   bufio.NewReaderSize(c, readBufferSize),
 	}, nil
 }
 
