test: the soak has a request that crashes its servers among its faults

It comes in again and again at any node, and its servers are back 0.5 s later. Checked: it is sent on no more than three times later than 4 s after the third crash, by nodes without a fault since then; it runs once an attempt at most, and a refusal of it is true. The other faults of a seed stay as they were.

--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -30,6 +30,10 @@
 	callerTimeout = 8 * time.Second
 	// keyGrace is the time after which a withdrawn key must not work.
 	keyGrace = 5 * time.Second
+	// crashGap is the mean time between two arrivals of the request that crashes servers, and
+	// serverDownTime how long a server is away after it has crashed.
+	crashGap       = 800 * time.Millisecond
+	serverDownTime = 500 * time.Millisecond
 	// lastingDisturbance is how long a fault of a node may still show in lost responses.
 	lastingDisturbance = 4 * time.Second
 )
@@ -82,11 +86,14 @@
 	copies []store.Copy
 	// silenceAfter is when the open connections to the store go silent.
 	silenceAfter time.Duration
+	// arrivals decides when and where the request that crashes servers comes in.
+	arrivals *rand.Rand
 }
 
 // TestSoak guards against broken promises where faults overlap: restarts, kills and pauses of
 // nodes, limits and departures that servers name in responses, outages and restores of the store,
-// connections to it that go silent, and changes of the configuration, beside callers that use their connections until they end.
+// connections to it that go silent, changes of the configuration, and a request that crashes the servers which run it, beside
+// callers that use their connections until they end.
 func TestSoak(t *testing.T) {
 	for _, seed := range soakSeeds(t) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
@@ -134,6 +141,7 @@
 		version: 1,
 		// Not drawn from random, so that the other faults of a seed stay as they were.
 		silenceAfter: time.Duration(rand.New(rand.NewPCG(seed, 1)).Int64N(int64(soakTime / 2))),
+		arrivals:     rand.New(rand.NewPCG(seed, 2)),
 	}
 	s.copies = []store.Copy{s.initial, s.store.Copy()}
 	for _, v := range s.vms {
@@ -153,6 +161,7 @@
 		}
 	}
 	s.silenceConnections()
+	callers.Go(func() { s.sendCrashing(done) })
 	for end := time.Now().Add(soakTime); time.Now().Before(end); {
 		s.fault()
 		time.Sleep(time.Duration(s.random.Int64N(int64(2 * soakStep))))
@@ -220,6 +229,35 @@
 	})
 }
 
+// sendCrashing sends the request that crashes servers, again and again at any node, and starts the
+// crashed servers again.
+func (s *soak) sendCrashing(done chan struct{}) {
+	for i := 0; ; i++ {
+		v := s.vms[s.arrivals.IntN(len(s.vms))]
+		one := sending{
+			vm:   v,
+			id:   fmt.Sprintf("%s-crashing-%d", v.name, i),
+			once: true,
+			key:  "key-1",
+			at:   time.Now(),
+		}
+		one.status, _, _ = v.sendBody(http.MethodPost, "/once/crashing", one.key, one.id, crashBody)
+		s.mu.Lock()
+		s.sent = append(s.sent, one)
+		s.mu.Unlock()
+		time.Sleep(serverDownTime)
+		s.mu.Lock()
+		crashed := s.restartCrashed()
+		s.mu.Unlock()
+		s.note("%s got status %d, %d servers crashed", one.id, one.status, crashed)
+		select {
+		case <-done:
+			return
+		case <-time.After(time.Duration(s.arrivals.Int64N(int64(2*crashGap - serverDownTime)))):
+		}
+	}
+}
+
 // restoreStore takes the store away for a while, after which it comes back from an earlier copy, which
 // may be that of before the first node. The operator writes what was lost again, at times late.
 func (s *soak) restoreStore(outage time.Duration) {
--- a/test/soakcheck_test.go
+++ b/test/soakcheck_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -33,6 +34,7 @@
 	for _, o := range s.sent {
 		callers[o.id] = o.vm
 	}
+	broken = append(broken, s.checkCrashing(callers)...)
 	for server, runs := range byServer {
 		var arrivals []arrival
 		for _, r := range runs {
@@ -149,3 +151,47 @@
 	}
 	return broken
 }
+
+const (
+	// maxLateSends is how often a request that has crashed three servers may reach one later than
+	// lateAfter, by nodes without a fault since then.
+	maxLateSends = 3
+	lateAfter    = 4 * time.Second
+)
+
+// checkCrashing checks how often the request that crashes servers was sent on.
+func (s *soak) checkCrashing(callers map[string]*vm) (broken []string) {
+	type run struct {
+		backend.Run
+		on *vm
+	}
+	var runs []run
+	for _, v := range s.vms {
+		for _, server := range v.started {
+			for _, r := range server.Runs() {
+				if r.Body == crashBody {
+					runs = append(runs, run{
+						Run: r,
+						on:  v,
+					})
+				}
+			}
+		}
+	}
+	slices.SortFunc(runs, func(a, b run) int { return a.At.Compare(b.At) })
+	if len(runs) <= 3 {
+		return nil
+	}
+	late := 0
+	for _, r := range runs[3:] {
+		from := r.At.Add(-lateAfter)
+		if from.After(runs[2].At) && !s.disturbed(callers[r.Attempt], from, r.At) && !s.disturbed(r.on, from, r.At) {
+			late++
+		}
+	}
+	s.note("%d servers crashed under one request, %d of them late", len(runs), late)
+	if late > maxLateSends {
+		broken = append(broken, fmt.Sprintf("a request that had crashed three servers reached %d more later than %v, %d allowed; %d in all", late, lateAfter, maxLateSends, len(runs)))
+	}
+	return broken
+}
