cmd/fuchsiapier, node/entry, node/gate: trace follows a request to the crashes on which it ran

Cause: the lines about a crash bear no request's ID but a list of them, and those about a standing a fingerprint: trace left them out, and the line of a refusal named neither.

--- a/cmd/fuchsiapier/cmd_trace.go
+++ b/cmd/fuchsiapier/cmd_trace.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 
@@ -25,7 +26,13 @@
 	Node    string `json:"node"`
 	Request string `json:"request"`
 	Message string `json:"message"`
-	text    string
+	// Fingerprint is set in lines about requests that ran during crashes. Requests names those that
+	// ran when a target crashed, each with its fingerprint behind a space, Noted the fingerprints of
+	// those for which it was the first crash.
+	Fingerprint string   `json:"fingerprint"`
+	Requests    []string `json:"requests"`
+	Noted       []string `json:"noted"`
+	text        string
 }
 
 // cmdTrace returns the command that prints the log lines of one request
@@ -41,34 +48,33 @@
 			var all []logLine
 			skipped := 0
 			for _, file := range args[1:] {
-				lines, n, err := traceFile(file, args[0])
+				lines, n, err := traceFile(file)
 				if err != nil {
 					return err
 				}
 				all = append(all, lines...)
 				skipped += n
 			}
-			return printTrace(cmd.OutOrStdout(), all, skipped)
+			return printTrace(cmd.OutOrStdout(), traceLines(all, args[0]), skipped)
 		},
 	}
 }
 
-// traceFile returns the lines about a request in a file, or in standard input for -.
-func traceFile(file, request string) (lines []logLine, skipped int, err error) {
+// traceFile returns the lines of a file, or of standard input for -.
+func traceFile(file string) (lines []logLine, skipped int, err error) {
 	if file == "-" {
-		return readTrace(os.Stdin, request)
+		return readLines(os.Stdin)
 	}
 	f, err := os.Open(file)
 	if err != nil {
 		return nil, 0, err
 	}
 	defer func() { _ = f.Close() }()
-	return readTrace(f, request)
+	return readLines(f)
 }
 
-// readTrace returns the lines about a request or a nested call of it, whose ID begins
-// with the ID of the request and a dot. skipped counts the lines that are not JSON.
-func readTrace(r io.Reader, request string) (lines []logLine, skipped int, err error) {
+// readLines returns the lines of a log. skipped counts those that are not JSON.
+func readLines(r io.Reader) (lines []logLine, skipped int, err error) {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
@@ -77,14 +83,42 @@
 			skipped++
 			continue
 		}
-		if l.Request == request || strings.HasPrefix(l.Request, request+".") {
-			l.text = scanner.Text()
-			lines = append(lines, l)
-		}
+		l.text = scanner.Text()
+		lines = append(lines, l)
 	}
 	return lines, skipped, scanner.Err()
 }
 
+// traceLines returns the lines about a request or a nested call of it, whose ID begins
+// with the ID of the request and a dot, and about crashes of targets on which they ran, or others with
+// the same content.
+func traceLines(lines []logLine, request string) []logLine {
+	about := func(id string) bool { return id == request || strings.HasPrefix(id, request+".") }
+	fingerprints := map[string]bool{}
+	for _, l := range lines {
+		if about(l.Request) && l.Fingerprint != "" {
+			fingerprints[l.Fingerprint] = true
+		}
+		for _, ran := range l.Requests {
+			if id, fingerprint, ok := strings.Cut(ran, " "); ok && about(id) {
+				fingerprints[fingerprint] = true
+			}
+		}
+	}
+	known := func(fingerprint string) bool { return fingerprints[fingerprint] }
+	var out []logLine
+	for _, l := range lines {
+		ran := slices.ContainsFunc(l.Requests, func(ran string) bool {
+			_, fingerprint, _ := strings.Cut(ran, " ")
+			return known(fingerprint)
+		})
+		if about(l.Request) || known(l.Fingerprint) || ran || slices.ContainsFunc(l.Noted, known) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
 // printTrace prints the lines in order of time; lines of the same time keep their
 // order.
 func printTrace(w io.Writer, lines []logLine, skipped int) error {
--- a/cmd/fuchsiapier/trace_test.go
+++ b/cmd/fuchsiapier/trace_test.go
@@ -20,12 +20,22 @@
 {"node":"c","time":"2026-12-04T10:00:00.100Z","message":"started"}
 `
 
+const crashLog = `{"node":"a","time":"1","message":"first crash","requests":["x1 f","y1 g"]}
+{"node":"b","time":"2","message":"noted","noted":["e","f"]}
+{"node":"b","time":"2","message":"another crash","requests":["y2 g"],"noted":["g"]}
+{"node":"b","time":"3","message":"second crash","requests":["x2 f"]}
+{"node":"b","time":"3","message":"standing","fingerprint":"f"}
+{"node":"c","time":"4","message":"another standing","fingerprint":"g"}
+{"node":"c","time":"5","message":"refused","request":"x3","fingerprint":"f"}
+`
+
 // TestTrace guards against dropping the lines of nested calls, taking another request
 // whose ID has the same prefix, and failing on lines that are not JSON.
 func TestTrace(t *testing.T) {
 	Convey("Only the lines of a request and its nested calls are printed, in order of time", t, func() {
-		lines, skipped, err := readTrace(strings.NewReader(sampleLog), "r1")
+		lines, skipped, err := readLines(strings.NewReader(sampleLog))
 		So(err, ShouldBeNil)
+		lines = traceLines(lines, "r1")
 		So(skipped, ShouldEqual, 1)
 		var out bytes.Buffer
 		So(printTrace(&out, lines, skipped), ShouldBeNil)
@@ -34,6 +44,15 @@
 		So(text, ShouldNotContainSubstring, "r10")
 		So(text, ShouldStartWith, "1 lines")
 	})
+	Convey("So are the lines about crashes during which it ran, or another one of the same content", t, func() {
+		lines, _, err := readLines(strings.NewReader(crashLog))
+		So(err, ShouldBeNil)
+		var got []string
+		for _, l := range traceLines(lines, "x2") {
+			got = append(got, l.Message)
+		}
+		So(got, ShouldResemble, []string{"first crash", "noted", "second crash", "standing", "refused"})
+	})
 	Convey("A request without lines is an error", t, func() {
 		So(errors.Is(printTrace(&bytes.Buffer{}, nil, 0), errNoLines), ShouldBeTrue)
 	})
--- a/internal/admit/crash/crash.go
+++ b/internal/admit/crash/crash.go
@@ -12,6 +12,7 @@
 	"encoding/binary"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"fuchsiapier/internal/base/timer"
@@ -33,6 +34,11 @@
 // since a caller may retry the request with another.
 type Fingerprint uint64
 
+// String returns the hexadecimal form of a fingerprint, as log lines and events contain it.
+func (f Fingerprint) String() string {
+	return strconv.FormatUint(uint64(f), 16)
+}
+
 // FingerprintOf returns the fingerprint of a request, the first bytes of a SHA-256 hash of the
 // arguments. The hash is a cryptographic one so that no workspace can make a request that counts as
 // another one's, crash targets with it and have that one refused.
@@ -49,6 +55,11 @@
 // ID identifies a crash.
 type ID uint64
 
+// String returns the hexadecimal form of an ID, as log lines contain it.
+func (id ID) String() string {
+	return strconv.FormatUint(uint64(id), 16)
+}
+
 // NewID returns a random ID.
 func NewID() ID {
 	return ID(rand.Uint64())
--- a/internal/edge/daemon/broadcast.go
+++ b/internal/edge/daemon/broadcast.go
@@ -1,8 +1,6 @@
 package daemon
 
 import (
-	"strconv"
-
 	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/admit/poison"
 	"fuchsiapier/internal/base/event"
@@ -29,7 +27,7 @@
 func (d *Daemon) recordStanding(kind string, f crash.Fingerprint) {
 	d.events.Add(event.Event{
 		Kind:   kind,
-		Detail: strconv.FormatUint(uint64(f), 16),
+		Detail: f.String(),
 	})
 }
 
--- a/internal/node/call/evidence.go
+++ b/internal/node/call/evidence.go
@@ -21,7 +21,7 @@
 func EncodeEvidence(crashes []crash.Crash) string {
 	var parts []string
 	for _, c := range crashes[:min(len(crashes), maxEvidence)] {
-		parts = append(parts, strconv.FormatUint(uint64(c.ID), 16)+":"+strconv.Itoa(c.Ran)+":"+strconv.FormatInt(c.AgeMillis, 10))
+		parts = append(parts, c.ID.String()+":"+strconv.Itoa(c.Ran)+":"+strconv.FormatInt(c.AgeMillis, 10))
 	}
 	return strings.Join(parts, ",")
 }
--- a/internal/node/entry/dispatch.go
+++ b/internal/node/entry/dispatch.go
@@ -84,8 +84,6 @@
 	retryAfter time.Duration
 	// lastReason is the reason of the last attempt whose outcome was not Answered.
 	lastReason call.Reason
-	// fingerprint identifies the request in evidence of crashes; 0 until it is needed.
-	fingerprint crash.Fingerprint
 	// final says that every other node would refuse the request as well.
 	final bool
 	// serverError is a target's response with a status of 500 or above, passed on where
@@ -251,7 +249,7 @@
 	c.MaxWait = d.maxWait()
 	c.TargetRateLimit = e.picker.rateLimit(&node)
 	if standing != crash.Clear {
-		c.Evidence = e.crashes.Evidence(d.fingerprint)
+		c.Evidence = e.crashes.Evidence(d.request.fingerprint)
 	}
 	e.picker.begin(&node)
 	began := time.Now()
@@ -270,7 +268,7 @@
 func (d *dispatcher) pick(nodes []peers.Node, view *peers.View, standing crash.Standing, skip func(name string) bool) (peers.Node, bool) {
 	picker := d.entry.picker
 	if standing == crash.Suspected {
-		if n, ok := picker.trial(time.Now(), nodes, d.fingerprint, view.Suspect, skip); ok {
+		if n, ok := picker.trial(time.Now(), nodes, d.request.fingerprint, view.Suspect, skip); ok {
 			return n, true
 		}
 	}
@@ -283,10 +281,10 @@
 	if e.crashes.Empty() {
 		return crash.Clear, 0
 	}
-	if d.fingerprint == 0 {
-		d.fingerprint = d.request.call.Fingerprint()
+	if d.request.fingerprint == 0 {
+		d.request.fingerprint = d.request.call.Fingerprint()
 	}
-	return e.crashes.Lookup(d.fingerprint)
+	return e.crashes.Lookup(d.request.fingerprint)
 }
 
 // isExcluded reports whether a node is left out of the last round. Busy nodes are not.
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -210,6 +210,8 @@
 	// time until one is expected; both are set where there was none.
 	tokenOwner string
 	tokenWait  time.Duration
+	// fingerprint identifies the request in evidence of crashes, 0 where there was none.
+	fingerprint crash.Fingerprint
 	// pathWait is the expected queueing time of the request over all hops.
 	pathWait time.Duration
 	// pathLoss is the probability that at least one of the calls that the request causes
@@ -477,6 +479,10 @@
 	if q.tokenOwner != "" {
 		line = line.Str("token-owner", q.tokenOwner).Int64("token-wait-ms", q.tokenWait.Milliseconds()).Float64("rate", q.workspace.Rate)
 	}
+	if q.fingerprint != 0 {
+		standing, left := e.crashes.Lookup(q.fingerprint)
+		line = line.Str("fingerprint", q.fingerprint.String()).Str("standing", string(standing)).Int64("standing-left-ms", left.Milliseconds())
+	}
 	line.Msg("request answered")
 }
 
--- a/internal/node/entry/picker.go
+++ b/internal/node/entry/picker.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -213,7 +212,7 @@
 	if len(names) == 0 {
 		return peers.Node{}, false
 	}
-	return byName[rank.Best(strconv.FormatUint(uint64(f), 16), names)], true
+	return byName[rank.Best(f.String(), names)], true
 }
 
 // baselineFailureRate returns the median of the failure rates that the nodes gossip.
--- a/internal/node/gate/crash.go
+++ b/internal/node/gate/crash.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -93,11 +92,11 @@
 	for _, l := range lost {
 		r.running = append(r.running, l.fingerprint)
 		if len(requests) < maxLoggedRequests {
-			requests = append(requests, l.attempt+" "+strconv.FormatUint(uint64(l.fingerprint), 16))
+			requests = append(requests, l.attempt+" "+l.fingerprint.String())
 		}
 	}
 	g.targetLog.Warn().Str("target", g.target.ID).Int64("born", g.target.StartedAt).Str("evidence", e.String()).
-		Str("crash", strconv.FormatUint(uint64(id), 16)).Int64("lost-ms-ago", time.Since(lost[len(lost)-1].at).Milliseconds()).
+		Str("crash", id.String()).Int64("lost-ms-ago", time.Since(lost[len(lost)-1].at).Milliseconds()).
 		Int("ran", len(lost)).Strs("requests", requests).Msg("target crashed")
 	return r
 }
@@ -129,6 +128,6 @@
 
 // logSuspect logs that a request that is not clear is sent to the target.
 func (g *Gate) logSuspect(attempt string, f crash.Fingerprint, s crash.Standing, left time.Duration, exclusive bool) {
-	g.log.Info().Str("request", attempt).Str("fingerprint", strconv.FormatUint(uint64(f), 16)).Str("standing", string(s)).
+	g.log.Info().Str("request", attempt).Str("fingerprint", f.String()).Str("standing", string(s)).
 		Int64("left-ms", left.Milliseconds()).Bool("exclusive", exclusive).Msg("request that ran during crashes is sent to the target")
 }
--- a/internal/node/gate/serve.go
+++ b/internal/node/gate/serve.go
@@ -105,7 +105,11 @@
 		}
 	}
 	s := g.State()
-	g.log.Warn().Str("request", c.Attempt).Str("service", c.Service).Str("outcome", r.Outcome.String()).
+	line := g.log.Warn()
+	if r.Reason == call.CrashesTargets {
+		line = line.Str("fingerprint", c.Fingerprint().String())
+	}
+	line.Str("request", c.Attempt).Str("service", c.Service).Str("outcome", r.Outcome.String()).
 		Str("reason", string(r.Reason)).Int("status", status).Str("target", s.ID).Int64("seq", s.Seq).
 		Int("running", s.Running).Int("waiting", s.Waiting).Int("limit", s.Limit).Float64("rate-limit", s.RateLimit).
 		Int64("queued-ms", r.Queued.Milliseconds()).Int64("wait-ms", r.Wait.Milliseconds()).
--- a/internal/node/model/crash_test.go
+++ b/internal/node/model/crash_test.go
@@ -151,7 +151,7 @@
 		names = append(names, n.name)
 	}
 	if suspected && len(names) > 0 {
-		return w.fleet.byName[rank.Best(strconv.FormatUint(uint64(f), 16), names)]
+		return w.fleet.byName[rank.Best(f.String(), names)]
 	}
 	if len(near) > 0 {
 		return near[rand.IntN(len(near))]
