node/agent: a status report is believed only of what the node can know

Cause: a report was ordered by its start time alone; nothing compared it with what the node knows of its VM. Change: a report with another address than that of the settings, or of a service that neither the settings nor the configuration in force names, gets 400 with the reason, is logged and replaces nothing. The next service at a target's address, which the configuration names, is still taken.

--- a/internal/conf/deploy/settings.go
+++ b/internal/conf/deploy/settings.go
@@ -41,6 +41,8 @@
 	MetricsPort int
 	// TargetService is the name of the service of the target on the VM.
 	TargetService string
+	// TargetAddress is the address (host:port) of the target on the VM, "" if it is not known.
+	TargetAddress string
 	// StoreAddress is the address of the platform's store.
 	StoreAddress string
 	// Grace is the time from SIGTERM until the process is killed.
--- a/internal/conf/rules/rules.go
+++ b/internal/conf/rules/rules.go
@@ -5,6 +5,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 	"strings"
 	"time"
 )
@@ -159,6 +160,15 @@
 	return len(r.content.Keyrings) > 0
 }
 
+// Names reports whether the configuration names a service, with settings or as the destination of a
+// route.
+func (r *Rules) Names(service string) bool {
+	_, ok := r.services[service]
+	return ok || slices.ContainsFunc(r.content.Routes, func(route Route) bool {
+		return slices.ContainsFunc(route.Destinations, func(d Destination) bool { return d.Service == service })
+	})
+}
+
 // Service returns the settings of a service, or the zero Service if it is unknown.
 func (r *Rules) Service(name string) Service {
 	return r.services[name]
--- a/internal/node/agent/http.go
+++ b/internal/node/agent/http.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
+	"fuchsiapier/internal/node/gate"
 	"fuchsiapier/internal/ops/admin"
 )
 
@@ -93,6 +94,13 @@
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
+	if reason := a.foreign(target); reason != "" {
+		a.log.Warn().Str("target", id).Str("service", target.Service).Str("address", target.Address).Str("reason", reason).
+			Msg("announcement rejected; the previous one stays in effect")
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		ctx.SetBodyString(reason)
+		return
+	}
 	if !a.gate.Announce(target) {
 		current := a.gate.State()
 		a.log.Info().Str("target", id).Int64("born", target.StartedAt).Int64("seq", target.Seq).
@@ -102,6 +110,21 @@
 	ctx.SetBodyString("{}")
 }
 
+// foreign returns why an announcement can't come from the target on this VM, or "". A target may be
+// replaced by one of another service at the same address, which the configuration then names.
+func (a *Agent) foreign(t gate.Target) string {
+	if address := a.deploy.TargetAddress; address != "" && t.Address != address {
+		return "address is not that of the target on this VM"
+	}
+	if t.Service == a.live.Load().TargetService {
+		return ""
+	}
+	if r := a.watcher.Current(); r == nil || !r.Names(t.Service) {
+		return "service is neither in the settings nor in the configuration"
+	}
+	return ""
+}
+
 // handleMetrics returns the handler of the metrics address: Prometheus metrics, the node's
 // view of the fleet at admin.PathFleet and its settings at admin.PathSettings.
 func (a *Agent) handleMetrics() fasthttp.RequestHandler {
