--- a/test/announce_test.go
+++ b/test/announce_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -16,16 +15,7 @@
 func (v *vm) report(id, service, address string) int {
 	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"any","version":"v1","slots":16,"state":"ready","cold_left_ms":0,"seq":1,"born":%d}`,
 		service, address, time.Now().Add(time.Minute).UnixMilli())
-	req, err := http.NewRequest(http.MethodPut, "http://"+v.address(portControl)+"/v1/instances/"+id, strings.NewReader(body))
-	if err != nil {
-		v.cluster.t.Fatal(err)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		v.cluster.t.Fatal(err)
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode
+	return v.callControl(http.MethodPut, id, body)
 }
 
 // TestServeForeignReport guards against a status report of another writer that replaces the server of a VM: it then gets no
--- a/test/serve_test.go
+++ b/test/serve_test.go
@@ -616,11 +616,11 @@
 	})
 }
 
-// withdrawServer withdraws the VM's server, which goes on reporting that it is ready, and waits
-// until the withdrawal is stored.
-func (v *vm) withdrawServer() {
+// callControl makes a call as the server with the given ID does to the VM's node, and returns the status of the
+// response.
+func (v *vm) callControl(method, id, body string) int {
 	v.cluster.t.Helper()
-	req, err := http.NewRequest(http.MethodDelete, "http://"+v.address(portControl)+"/v1/instances/i-"+v.name, nil)
+	req, err := http.NewRequest(method, "http://"+v.address(portControl)+"/v1/instances/"+id, strings.NewReader(body))
 	if err != nil {
 		v.cluster.t.Fatal(err)
 	}
@@ -629,8 +629,15 @@
 		v.cluster.t.Fatal(err)
 	}
 	_ = resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		v.cluster.t.Fatalf("withdrawal was answered %d", resp.StatusCode)
+	return resp.StatusCode
+}
+
+// withdrawServer withdraws the VM's server, which goes on reporting that it is ready, and waits
+// until the withdrawal is stored.
+func (v *vm) withdrawServer() {
+	v.cluster.t.Helper()
+	if status := v.callControl(http.MethodDelete, "i-"+v.name, ""); status != http.StatusOK {
+		v.cluster.t.Fatalf("withdrawal was answered %d", status)
 	}
 	v.waitForStoredWithdrawal()
 }
