--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,7 @@
 	"fuchsiapier/internal/conf/rules"
 	"fuchsiapier/internal/mesh/dgram"
 	"fuchsiapier/internal/mesh/peers"
+	"fuchsiapier/internal/node/depart"
 	"fuchsiapier/internal/node/entry"
 	"fuchsiapier/internal/node/fetch"
 	"fuchsiapier/internal/node/gate"
@@ -121,6 +123,12 @@
 	// leaving is set when the shutdown has begun.
 	leaving atomic.Bool
 	fetcher *fetch.Fetcher
+	// departures makes the departures of the target durable, held holds those of other nodes.
+	departures *depart.Recorder
+	held       *depart.Holder
+	// storeListed is closed once the records of the store were read.
+	storeListed chan struct{}
+	onListed    sync.Once
 	// started is set once all components exist; datagrams of other nodes that arrive before
 	// are dropped.
 	started atomic.Bool
@@ -141,6 +149,8 @@
 		tree:       tree,
 		graph:      graph.NewCounter(),
 		lastTrim:   time.Now(),
+
+		storeListed: make(chan struct{}),
 	}
 	a.live.Store(&settings)
 	a.crashes = poison.New(func(c crash.Crash) { a.peers.Broadcast(c) },
@@ -170,11 +180,12 @@
 	bodies := httpc.NewBodies(int(a.deploy.MemoryBytes/bodiesDivisor), int(a.deploy.MemoryBytes/bodyDivisor))
 	a.gate, stop = gate.New(a.adapter.Names, gate.WithBodies(bodies), gate.WithOnChange(a.targetChanged), gate.WithCrashTracker(a.crashes), gate.WithLog(a.requestLog),
 		gate.WithTargetLog(a.log.Sample(a.stats.Sampler())),
-		gate.WithOnWithdraw(a.storeWithdrawals),
+		gate.WithBlocked(), gate.WithOnDeparture(a.departed),
 		gate.WithOnRun(func() { a.graph.CountRun(timer.Now()) }))
 	a.tree.Cleanup(stop)
 	a.links, stop = remote.New(self, a.adapter.Names, bodies)
 	a.tree.Cleanup(stop)
+	a.startDepartures()
 	if err := a.startWatch(self); err != nil {
 		return err
 	}
@@ -185,6 +196,7 @@
 	}
 	a.registerGauges()
 	a.started.Store(true)
+	a.recallDepartures()
 	timers, stopTimers := timer.New()
 	a.tree.Cleanup(stopTimers)
 	timers.Every(tickPeriod, a.tick)
@@ -217,6 +229,7 @@
 		a.stats.Counter("fuchsiapier_gate_"+c.Name+"_total", crashCountHelp[c.Name], labels, func() float64 { return float64(c.Read()) })
 	}
 	a.stats.Counter("fuchsiapier_crash_evidence_received_total", "Pieces of evidence of crashes that came from other nodes.", nil, func() float64 { return float64(a.crashes.Received()) })
+	register("departures_held_for_nodes", "Nodes for which this one holds departures of targets.", a.held.Owners)
 	register("settings_need_restart", "Settings of the file that take effect with the next start.", func() int { return len(a.reloader.Status().Restart) })
 	register("settings_rejected", "1 if the settings file as it is now was refused.", func() int {
 		if a.reloader.Status().Rejected != "" {
@@ -316,7 +329,8 @@
 		watch.WithLog(a.log),
 		watch.WithOnApply(a.configApplied),
 		watch.WithOnCaughtUp(a.stats.RecordCaughtUp),
-		watch.WithOwnKeys(withdrawnPrefix+a.deploy.Node, crashesPrefix+a.deploy.Node),
+		watch.WithOnStored(a.recordStored),
+		watch.WithOwnKeys(departuresPrefix+a.deploy.Node, crashesPrefix+a.deploy.Node),
 	)
 	a.watcher = watcher
 	a.tree.Cleanup(stop)
@@ -351,7 +365,7 @@
 		return err
 	}
 	a.tree.Cleanup(stop)
-	receiver := remote.NewReceiver(a.gate, a.adapter.Names, a.watcher.Raw)
+	receiver := remote.NewReceiver(a.gate, a.adapter.Names, a.watcher.Raw, remote.WithDepartures(a.held))
 	a.calls, stop, err = frame.Serve(a.deploy.Gate, receiver.Handle, bodies, a.log, a.adapter.Names.Attempt, a.adapter.Names.Signature)
 	if err != nil {
 		return err
@@ -628,9 +642,9 @@
 			f.agent.restoreCrashes(r)
 			continue
 		}
-		if node, ok := strings.CutPrefix(r.Key, withdrawnPrefix); ok {
+		if node, ok := strings.CutPrefix(r.Key, departuresPrefix); ok {
 			if node == f.agent.deploy.Node {
-				f.agent.restoreWithdrawals(r.Value)
+				f.agent.restoreStored(r.Value)
 			}
 			continue
 		}
@@ -640,5 +654,6 @@
 		}
 		nodes = append(nodes, n)
 	}
+	f.agent.onListed.Do(func() { close(f.agent.storeListed) })
 	f.agent.peers.Learn(timer.Now(), nodes)
 }
--- a/internal/node/agent/http.go
+++ b/internal/node/agent/http.go
@@ -80,6 +80,7 @@
 		a.announce(ctx, id)
 	case fasthttp.MethodDelete:
 		a.gate.Withdraw(id)
+		a.respondToDeparture(ctx, id)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusMethodNotAllowed)
 	}
@@ -106,6 +107,21 @@
 		a.log.Info().Str("target", id).Int64("born", target.StartedAt).Int64("seq", target.Seq).
 			Str("held", current.ID).Int64("held-born", current.StartedAt).Int64("held-seq", current.Seq).Msg("outdated announcement ignored")
 	}
+	if !target.Ready {
+		a.respondToDeparture(ctx, id)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBodyString("{}")
+}
+
+// respondToDeparture confirms that a target is draining or gone, which binds, or asks it to report
+// that again.
+func (a *Agent) respondToDeparture(ctx *fasthttp.RequestCtx, id string) {
+	if !a.confirm(id) {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
 	ctx.SetContentType("application/json")
 	ctx.SetBodyString("{}")
 }
--- /dev/null
+++ b/internal/node/gate/departure.go
@@ -0,0 +1,68 @@
+package gate
+
+import (
+	"slices"
+	"time"
+
+	"fuchsiapier/internal/node/starts"
+)
+
+// Withdraw records that a target has left for good. The gate sends it no further requests,
+// and requests in flight continue. Later announcements of its start are ignored.
+func (g *Gate) Withdraw(id string) {
+	g.depart(func(now time.Time) bool { return g.starts.Withdraw(now, id) })
+}
+
+// withdrawStart is Withdraw for the start of a target that began at startedAt.
+func (g *Gate) withdrawStart(id string, startedAt int64) {
+	g.depart(func(now time.Time) bool { return g.starts.WithdrawStart(now, id, startedAt) })
+}
+
+// depart records a departure with the given function, which reports whether it was news.
+func (g *Gate) depart(record func(now time.Time) bool) {
+	g.mu.Lock()
+	if !record(time.Now()) {
+		g.mu.Unlock()
+		return
+	}
+	g.closeIfLeaving()
+	state := g.stateLocked()
+	departures := slices.Clone(g.starts.Departures())
+	g.mu.Unlock()
+	g.onChange(state)
+	g.onDeparture(departures)
+}
+
+// RestoreDepartures records the departures that an earlier process of this node has
+// recorded.
+func (g *Gate) RestoreDepartures(departures []starts.Departure) {
+	g.mu.Lock()
+	before := g.stateLocked()
+	g.starts.Restore(departures)
+	g.closeIfLeaving()
+	after := g.stateLocked()
+	g.mu.Unlock()
+	if before.Open != after.Open {
+		g.onChange(after)
+	}
+}
+
+// Unblock lets the gate open. It is to be called once the departures that an earlier process of this
+// node has recorded are restored.
+func (g *Gate) Unblock() {
+	g.mu.Lock()
+	before := g.stateLocked()
+	g.blocked = false
+	after := g.stateLocked()
+	g.mu.Unlock()
+	if before.Open != after.Open {
+		g.onChange(after)
+	}
+}
+
+// closeIfLeaving closes the gate if the present start is leaving; g.mu must be held.
+func (g *Gate) closeIfLeaving() {
+	if g.starts.Leaving(time.Now()) {
+		g.target.Ready = false
+	}
+}
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -16,6 +16,7 @@
 	"fuchsiapier/internal/base/decay"
 	"fuchsiapier/internal/base/timer"
 	"fuchsiapier/internal/node/call"
+	"fuchsiapier/internal/node/starts"
 	"fuchsiapier/internal/pipe/httpc"
 	"fuchsiapier/internal/pipe/msg"
 )
@@ -43,11 +44,6 @@
 	// failureHalfLife is the time in which a failure rate halves without results, so
 	// that a target that is avoided for its failures is tried again.
 	failureHalfLife = 3 * time.Second
-	// maxWithdrawals bounds the number of withdrawn targets on record.
-	maxWithdrawals = 64
-	// lateAnnouncementTime is how long announcements of a withdrawn target may still
-	// arrive, in whose withdrawal its start time was not known.
-	lateAnnouncementTime = 30 * time.Second
 )
 
 // Gate admits requests to the target on this VM and sends them. It is safe for
@@ -57,10 +53,10 @@
 	filter   msg.Filter
 	onChange func(State)
 	onRun    func()
-	// onWithdraw is called with all withdrawals on record after a new one.
-	onWithdraw func([]Withdrawal)
-	crashes    CrashTracker
-	log        zerolog.Logger
+	// onDeparture is called with all departures on record after a new one.
+	onDeparture func([]starts.Departure)
+	crashes     CrashTracker
+	log         zerolog.Logger
 	// targetLog is for lines about changes of the target.
 	targetLog zerolog.Logger
 
@@ -87,8 +83,10 @@
 	// receives true when the request starts and false when it is dropped from the
 	// queue.
 	waiting map[*limit.Ticket]chan bool
-	// withdrawals holds the withdrawn targets, the oldest first.
-	withdrawals []Withdrawal
+	// starts decides which announcements are applied.
+	starts starts.Tracker
+	// blocked keeps the gate closed until Unblock is called.
+	blocked bool
 	// failed is the recent failure rate of the target.
 	failed      decay.Share
 	serviceTime serviceTime
@@ -153,11 +151,18 @@
 	}
 }
 
-// WithOnWithdraw sets a function that is called with all withdrawals on record after each
-// new one, so that they can be stored for the node's next process.
-func WithOnWithdraw(f func([]Withdrawal)) Option {
+// WithOnDeparture sets a function that is called with all departures on record after each
+// new one, so that they outlive this process.
+func WithOnDeparture(f func([]starts.Departure)) Option {
 	return func(g *Gate) {
-		g.onWithdraw = f
+		g.onDeparture = f
+	}
+}
+
+// WithBlocked keeps the gate closed until Unblock is called.
+func WithBlocked() Option {
+	return func(g *Gate) {
+		g.blocked = true
 	}
 }
 
@@ -176,7 +181,7 @@
 		filter:        msg.NewFilter(call.FieldCall, call.FieldLoad, call.FieldRefused, call.FieldCrash),
 		onChange:      func(State) {},
 		onRun:         func() {},
-		onWithdraw:    func([]Withdrawal) {},
+		onDeparture:   func([]starts.Departure) {},
 		crashes:       noCrashes{},
 		log:           zerolog.Nop(),
 		targetLog:     zerolog.Nop(),
@@ -231,7 +236,7 @@
 func (g *Gate) stateLocked() State {
 	return State{
 		Target:  g.target,
-		Open:    g.announced && g.target.Ready && !g.leaving && time.Now().After(g.downUntil),
+		Open:    g.announced && g.target.Ready && !g.leaving && !g.blocked && time.Now().After(g.downUntil),
 		Wait:    g.wait(),
 		Running: g.limiter.Running(),
 		Waiting: g.limiter.Waiting(),
--- a/internal/node/gate/gate_test.go
+++ b/internal/node/gate/gate_test.go
@@ -15,6 +15,7 @@
 
 	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/node/call"
+	"fuchsiapier/internal/node/starts"
 	"fuchsiapier/internal/pipe/msg"
 )
 
@@ -374,26 +375,36 @@
 func TestLeftTargetAfterRestart(t *testing.T) {
 	now := time.Now().UnixMilli()
 	Convey("A restarted node ignores late announcements of a target withdrawn before, and takes its next start", t, func() {
-		var stored []Withdrawal
-		before, _ := New(names, WithOnWithdraw(func(w []Withdrawal) { stored = w }))
+		var stored []starts.Departure
+		before, _ := New(names, WithOnDeparture(func(d []starts.Departure) { stored = d }))
 		before.Announce(announcement("a", now-5000, 5, true))
 		before.Withdraw("a")
 		after, _ := New(names)
-		after.RestoreWithdrawals(stored)
+		after.RestoreDepartures(stored)
 		So(after.Announce(announcement("a", now-5000, 4, true)), ShouldBeFalse)
 		So(after.State().Open, ShouldBeFalse)
 		So(after.Announce(announcement("a", now-1000, 1, true)), ShouldBeTrue)
 	})
 	Convey("An announcement that came before the stored withdrawals is undone by them", t, func() {
-		var stored []Withdrawal
-		before, _ := New(names, WithOnWithdraw(func(w []Withdrawal) { stored = w }))
+		var stored []starts.Departure
+		before, _ := New(names, WithOnDeparture(func(d []starts.Departure) { stored = d }))
 		before.Announce(announcement("a", now-5000, 5, true))
 		before.Withdraw("a")
 		after, _ := New(names)
 		after.Announce(announcement("a", now-5000, 4, true))
-		after.RestoreWithdrawals(stored)
+		after.RestoreDepartures(stored)
 		So(after.State().Open, ShouldBeFalse)
 	})
+	Convey("A gate that is blocked until the departures are known takes no calls", t, func() {
+		var states []State
+		g, _ := New(names, WithBlocked(), WithOnChange(func(s State) { states = append(states, s) }))
+		g.Announce(announcement("a", now-5000, 9, true))
+		So(g.State().Open, ShouldBeFalse)
+		So(g.Serve(context.Background(), newCall("x")).Reason, ShouldEqual, call.NoTarget)
+		g.Unblock()
+		So(g.State().Open, ShouldBeTrue)
+		So(states[len(states)-1].Open, ShouldBeTrue)
+	})
 	Convey("A target that is withdrawn before this process has heard of it stays out as well", t, func() {
 		g, _ := New(names)
 		g.Withdraw("a")
--- a/internal/node/gate/notice.go
+++ b/internal/node/gate/notice.go
@@ -51,12 +51,12 @@
 	if target.ID == g.target.ID && target.StartedAt == g.target.StartedAt {
 		g.observeRateLimit(c, n)
 	}
-	leaves := n.leaving && !g.isWithdrawn(target)
+	leaves := n.leaving && !g.starts.Left(target.ID, target.StartedAt)
 	g.mu.Unlock()
 	if leaves {
 		g.targetLog.Info().Str("request", c.Attempt).Str("target", target.ID).Int64("born", target.StartedAt).
 			Msg("target is leaving")
-		g.withdraw(target.ID, target.StartedAt)
+		g.withdrawStart(target.ID, target.StartedAt)
 	}
 }
 
--- a/internal/node/gate/notice_test.go
+++ b/internal/node/gate/notice_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"fuchsiapier/internal/node/call"
+	"fuchsiapier/internal/node/starts"
 )
 
 // limitedResponse is a response that names a rate limit of 2 requests per second.
@@ -134,9 +135,9 @@
 	Convey("Given a target that says in a response that it leaves", t, func() {
 		s := newServer(t, responding("X-Signature: s\r\nX-Leaving: 1\r\n"))
 		close(s.release)
-		var stored []Withdrawal
+		var stored []starts.Departure
 		var states []State
-		g, _ := New(names, WithOnWithdraw(func(w []Withdrawal) { stored = w }), WithOnChange(func(s State) { states = append(states, s) }))
+		g, _ := New(names, WithOnDeparture(func(d []starts.Departure) { stored = d }), WithOnChange(func(s State) { states = append(states, s) }))
 		announce := func(startedAt, seq int64) bool {
 			a := announcement("t1", startedAt, seq, true)
 			a.Address, a.Slots = s.address, 4
--- a/internal/node/gate/serve.go
+++ b/internal/node/gate/serve.go
@@ -126,7 +126,7 @@
 // it takes them; g.mu must be held.
 func (g *Gate) closedReason(service string) call.Reason {
 	switch {
-	case !g.announced || g.target.Service != service || !g.target.Ready:
+	case g.blocked || !g.announced || g.target.Service != service || !g.target.Ready:
 		return call.NoTarget
 	case g.leaving:
 		return call.Leaving
--- a/internal/node/gate/target.go
+++ b/internal/node/gate/target.go
@@ -1,8 +1,10 @@
 package gate
 
 import (
+	"slices"
 	"time"
 
+	"fuchsiapier/internal/node/starts"
 	"fuchsiapier/internal/pipe/httpc"
 )
 
@@ -55,47 +57,43 @@
 	FailureRate float64
 }
 
-// Announce applies a target's announcement and reports whether it was newer than
-// the one that the gate has. Late announcements of the same start, and those of
-// earlier starts, are ignored.
+// report returns what an announcement says about the start of the target.
+func (t Target) report() starts.Report {
+	return starts.Report{
+		ID:        t.ID,
+		StartedAt: t.StartedAt,
+		Seq:       t.Seq,
+		Ready:     t.Ready,
+	}
+}
+
+// Announce applies a target's announcement, if its start is the present one, and reports whether it
+// did. Late announcements, and those of starts that have left, are ignored.
 func (g *Gate) Announce(t Target) bool {
 	g.mu.Lock()
-	if !g.newer(t) {
-		g.mu.Unlock()
-		return false
-	}
+	applied, departed := g.starts.Announce(time.Now(), t.report())
 	before := g.stateLocked()
 	var crashed crashReport
-	if g.announced && g.target.StartedAt > 0 && t.StartedAt > g.target.StartedAt {
-		crashed = g.takeCrash(newStart)
+	var woken []chan bool
+	if applied {
+		if g.announced && g.target.StartedAt > 0 && t.StartedAt > g.target.StartedAt {
+			crashed = g.takeCrash(newStart)
+		}
+		g.setTarget(t)
+		woken = g.startQueued()
 	}
-	g.setTarget(t)
 	after := g.stateLocked()
-	woken := g.startQueued()
+	departures := slices.Clone(g.starts.Departures())
 	g.mu.Unlock()
 	wake(woken)
 	g.report(crashed)
 	if before.Target.ID != after.Target.ID || before.Open != after.Open || before.Service != after.Service {
 		g.onChange(after)
 	}
-	return true
-}
-
-// newer reports whether an announcement supersedes the one that the gate has.
-// Announcements of the same start are ordered by sequence number, others by start
-// time. Those of a withdrawn start, or of earlier ones of the same ID, are outdated;
-// g.mu must be held.
-func (g *Gate) newer(t Target) bool {
-	if g.isWithdrawn(t) {
-		return false
-	}
-	if !g.announced || g.target.ID == "" {
-		return true
-	}
-	if t.ID == g.target.ID && t.StartedAt == g.target.StartedAt {
-		return t.Seq > g.target.Seq
+	if departed {
+		g.onDeparture(departures)
 	}
-	return t.StartedAt > g.target.StartedAt
+	return applied
 }
 
 // setTarget applies an announcement; g.mu must be held.
--- a/internal/node/remote/remote.go
+++ b/internal/node/remote/remote.go
@@ -1,7 +1,8 @@
 // Package remote forwards calls to the gates of other nodes and receives theirs.
 // The request of a call is forwarded unchanged, with one more header field,
 // call.FieldCall, which carries what the receiving gate needs to know. Nodes also
-// fetch the configuration in force from each other over the same connections.
+// fetch the configuration in force from each other, and hold the departures of each
+// other's targets.
 package remote
 
 import (
@@ -211,27 +212,47 @@
 
 // Receiver handles the requests of other nodes.
 type Receiver struct {
-	gate  Gate
-	names msg.Names
-	rules func() []byte
+	gate       Gate
+	names      msg.Names
+	rules      func() []byte
+	departures Departures
+}
+
+// ReceiverOption configures a Receiver.
+type ReceiverOption func(*Receiver)
+
+// WithDepartures sets what holds the departures that other nodes have confirmed. Without it the
+// node holds none.
+func WithDepartures(d Departures) ReceiverOption {
+	return func(r *Receiver) {
+		r.departures = d
+	}
 }
 
 // NewReceiver returns a receiver that runs calls on a gate. rules returns the
 // encoded configuration in force, or nil before there is one.
-func NewReceiver(gate Gate, names msg.Names, rules func() []byte) *Receiver {
-	return &Receiver{
-		gate:  gate,
-		names: names,
-		rules: rules,
+func NewReceiver(gate Gate, names msg.Names, rules func() []byte, options ...ReceiverOption) *Receiver {
+	r := &Receiver{
+		gate:       gate,
+		names:      names,
+		rules:      rules,
+		departures: noDepartures{},
 	}
+	for _, o := range options {
+		o(r)
+	}
+	return r
 }
 
-// Handle handles one request of another node: a call where FieldCall is present,
-// otherwise a request for the configuration. It returns nil where the sending node
+// Handle handles one request of another node: a call where FieldCall is present, otherwise
+// a request about departures or for the configuration. It returns nil where the sending node
 // canceled the call.
 func (r *Receiver) Handle(ctx context.Context, in *frame.Request) *msg.Response {
 	field := in.Header.Get(call.FieldCall)
 	if field == "" {
+		if out := r.serveDepartures(ctx, in); out != nil {
+			return out
+		}
 		return r.serveRules(in)
 	}
 	c, err := call.DecodeField(field, time.Now())
--- a/internal/node/stats/stats.go
+++ b/internal/node/stats/stats.go
@@ -19,6 +19,7 @@
 	// caughtUp and failedFetches are about newer configurations that other nodes have.
 	caughtUp      prometheus.Histogram
 	failedFetches prometheus.Counter
+	departures    *prometheus.HistogramVec
 }
 
 // New returns metrics with a new registry.
@@ -47,8 +48,13 @@
 			Name: "fuchsiapier_rules_fetches_failed_total",
 			Help: "Failed attempts to fetch a configuration from another node.",
 		}),
+		departures: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "fuchsiapier_departure_seconds",
+			Help:    "Time from a target's report that it is draining or gone until its departure was durable, by what it rests on.",
+			Buckets: prometheus.ExponentialBuckets(0.002, 2, 10),
+		}, []string{"basis"}),
 	}
-	s.registry.MustRegister(s.responses, s.latency, s.dropped, s.caughtUp, s.failedFetches)
+	s.registry.MustRegister(s.responses, s.latency, s.dropped, s.caughtUp, s.failedFetches, s.departures)
 	return s
 }
 
@@ -74,6 +80,12 @@
 	s.failedFetches.Inc()
 }
 
+// RecordDeparture records how long a report that the target is draining or gone waited until its
+// departure was durable, and what that rests on.
+func (s *Stats) RecordDeparture(basis string, waited time.Duration) {
+	s.departures.WithLabelValues(basis).Observe(waited.Seconds())
+}
+
 // CountDropped counts n log lines that were not written.
 func (s *Stats) CountDropped(n int) {
 	s.dropped.Add(float64(n))
--- a/internal/node/watch/option.go
+++ b/internal/node/watch/option.go
@@ -41,3 +41,11 @@
 		w.ownKeys = keys
 	}
 }
+
+// WithOnStored registers a function that is called with each record of this node that the store
+// has taken.
+func WithOnStored(f func(Record)) Option {
+	return func(w *Watcher) {
+		w.onStored = f
+	}
+}
--- a/internal/node/watch/records.go
+++ b/internal/node/watch/records.go
@@ -143,8 +143,9 @@
 		epoch = known
 	}
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.records.acknowledge(r.Key, revision, epoch)
+	w.mu.Unlock()
+	w.onStored(r)
 	return nil
 }
 
--- a/internal/node/watch/watch.go
+++ b/internal/node/watch/watch.go
@@ -139,6 +139,7 @@
 	rules      *rules.Rules
 	onApply    func(*rules.Rules)
 	onCaughtUp func(time.Duration)
+	onStored   func(Record)
 	reachable  bool
 	// newest is the newest version that other nodes have in force.
 	newest heardVersion
@@ -198,6 +199,7 @@
 		log:         zerolog.Nop(),
 		onApply:     func(*rules.Rules) {},
 		onCaughtUp:  func(time.Duration) {},
+		onStored:    func(Record) {},
 		respondedAt: time.Now(),
 		readerSince: time.Now(),
 		records:     ownRecords{},
