--- a/internal/node/agent/departures.go
+++ b/internal/node/agent/departures.go
@@ -98,6 +98,6 @@
 }
 
 // Done lets the gate open.
-func (r restart) Done(bool) {
-	r.agent.gate.Unblock()
+func (r restart) Done(complete bool) {
+	r.agent.gate.Unblock(complete)
 }
--- a/internal/node/agent/http.go
+++ b/internal/node/agent/http.go
@@ -102,12 +102,13 @@
 		ctx.SetBodyString(reason)
 		return
 	}
-	if !a.gate.Announce(target) {
-		current := a.gate.State()
-		a.log.Info().Str("target", id).Int64("born", target.StartedAt).Int64("seq", target.Seq).
-			Str("held", current.ID).Int64("held-born", current.StartedAt).Int64("held-seq", current.Seq).Msg("outdated announcement ignored")
-	}
-	if !target.Ready {
+	a.gate.Announce(target)
+	switch {
+	case !target.Ready && !a.gate.Departed(target):
+		// The report may be a late one; the next one shows that.
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	case !target.Ready:
 		a.respondToDeparture(ctx, id)
 		return
 	}
--- a/internal/node/gate/departure.go
+++ b/internal/node/gate/departure.go
@@ -33,12 +33,19 @@
 	g.onDeparture(departures)
 }
 
+// Departed reports whether the departure of the start of a target is on record.
+func (g *Gate) Departed(t Target) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.starts.Departed(t.ID, t.StartedAt)
+}
+
 // RestoreDepartures records the departures that an earlier process of this node has
 // recorded.
 func (g *Gate) RestoreDepartures(departures []starts.Departure) {
 	g.mu.Lock()
 	before := g.stateLocked()
-	g.starts.Restore(departures)
+	g.starts.Restore(time.Now(), departures)
 	g.closeIfLeaving()
 	after := g.stateLocked()
 	g.mu.Unlock()
@@ -48,11 +55,13 @@
 }
 
 // Unblock lets the gate open. It is to be called once the departures that an earlier process of this
-// node has recorded are restored.
-func (g *Gate) Unblock() {
+// node has recorded are restored; complete is false if some may be missing, so that the target must
+// report again first.
+func (g *Gate) Unblock(complete bool) {
 	g.mu.Lock()
 	before := g.stateLocked()
-	g.blocked = false
+	g.cautious = !complete && g.reports < cautiousReports
+	g.blocked = g.cautious
 	after := g.stateLocked()
 	g.mu.Unlock()
 	if before.Open != after.Open {
@@ -60,9 +69,9 @@
 	}
 }
 
-// closeIfLeaving closes the gate if the present start is leaving; g.mu must be held.
+// closeIfLeaving closes the gate if no start of the target may be used; g.mu must be held.
 func (g *Gate) closeIfLeaving() {
-	if g.starts.Leaving(time.Now()) {
+	if !g.starts.Usable() {
 		g.target.Ready = false
 	}
 }
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -46,6 +46,10 @@
 	failureHalfLife = 3 * time.Second
 )
 
+// cautiousReports is how many reports of a target show that it has not left, where a restarted node
+// could not learn of departures: late reports are few.
+const cautiousReports = 2
+
 // Gate admits requests to the target on this VM and sends them. It is safe for
 // concurrent use.
 type Gate struct {
@@ -85,8 +89,12 @@
 	waiting map[*limit.Ticket]chan bool
 	// starts decides which announcements are applied.
 	starts starts.Tracker
-	// blocked keeps the gate closed until Unblock is called.
-	blocked bool
+	// blocked keeps the gate closed until Unblock is called, and if that left departures unknown,
+	// as cautious says, until there were cautiousReports of the present start. reports counts
+	// them.
+	blocked  bool
+	cautious bool
+	reports  int
 	// failed is the recent failure rate of the target.
 	failed      decay.Share
 	serviceTime serviceTime
--- a/internal/node/gate/notice.go
+++ b/internal/node/gate/notice.go
@@ -48,10 +48,10 @@
 func (g *Gate) observe(c *call.Call, target Target, a *httpc.Answer) {
 	n := g.parseNotice(a)
 	g.mu.Lock()
-	if target.ID == g.target.ID && target.StartedAt == g.target.StartedAt {
+	if target.sameStart(g.target) {
 		g.observeRateLimit(c, n)
 	}
-	leaves := n.leaving && !g.starts.Left(target.ID, target.StartedAt)
+	leaves := n.leaving && !g.starts.StartLeaving(target.ID, target.StartedAt)
 	g.mu.Unlock()
 	if leaves {
 		g.targetLog.Info().Str("request", c.Attempt).Str("target", target.ID).Int64("born", target.StartedAt).
--- a/internal/node/gate/target.go
+++ b/internal/node/gate/target.go
@@ -20,8 +20,8 @@
 	Ready bool
 	// ColdLeft is how much longer the target is slow after a cold start.
 	ColdLeft time.Duration
-	// StartedAt is when the target started, in Unix milliseconds, or 0 where the
-	// announcement doesn't say. It serves as the target's incarnation number.
+	// StartedAt is when the target started, in Unix milliseconds by a clock that may jump, or
+	// 0 where the announcement doesn't say. With the ID it names the start.
 	StartedAt int64
 	// Seq is the sequence number of the announcement; it increases with each
 	// announcement of the same start.
@@ -71,12 +71,13 @@
 // did. Late announcements, and those of starts that have left, are ignored.
 func (g *Gate) Announce(t Target) bool {
 	g.mu.Lock()
-	applied, departed := g.starts.Announce(time.Now(), t.report())
+	held := g.target
+	verdict, departed := g.starts.Announce(time.Now(), t.report())
 	before := g.stateLocked()
 	var crashed crashReport
 	var woken []chan bool
-	if applied {
-		if g.announced && g.target.StartedAt > 0 && t.StartedAt > g.target.StartedAt {
+	if verdict == starts.Applied {
+		if g.announced && g.target.StartedAt > 0 && !t.sameStart(g.target) {
 			crashed = g.takeCrash(newStart)
 		}
 		g.setTarget(t)
@@ -93,12 +94,21 @@
 	if departed {
 		g.onDeparture(departures)
 	}
-	return applied
+	if verdict != starts.Applied {
+		g.targetLog.Info().Str("target", t.ID).Int64("born", t.StartedAt).Int64("seq", t.Seq).Str("reason", string(verdict)).
+			Str("held", held.ID).Int64("held-born", held.StartedAt).Int64("held-seq", held.Seq).Msg("announcement ignored")
+	}
+	return verdict == starts.Applied
+}
+
+// sameStart reports whether both announcements are of the same start of a target.
+func (t Target) sameStart(o Target) bool {
+	return t.ID == o.ID && t.StartedAt == o.StartedAt
 }
 
 // setTarget applies an announcement; g.mu must be held.
 func (g *Gate) setTarget(t Target) {
-	restarted := t.ID != g.target.ID || t.StartedAt != g.target.StartedAt
+	restarted := !t.sameStart(g.target)
 	if g.pool == nil || g.pool.Address() != t.Address {
 		if g.pool != nil {
 			g.pool.Close()
@@ -125,7 +135,14 @@
 		g.limiter.LiftRate()
 		g.runs.restarted()
 	}
+	if restarted {
+		g.reports = 0
+	}
+	g.reports++
 	g.target = t
 	g.announced = true
 	g.downUntil = time.Time{}
+	if g.cautious && g.reports >= cautiousReports {
+		g.blocked, g.cautious = false, false
+	}
 }
--- a/internal/node/starts/departure.go
+++ b/internal/node/starts/departure.go
@@ -14,6 +14,10 @@
 	// lateReportTime is how long reports of a target may still arrive whose start was not known
 	// when it was withdrawn.
 	lateReportTime = 30 * time.Second
+	// repeatTime is how long a withdrawal counts as repeated whose start is not certain.
+	repeatTime = 1 * time.Second
+	// clockStep is how far the time of day of a target may be ahead of the node's.
+	clockStep = 3 * time.Second
 )
 
 // Departure says that a start of a target is leaving or has left, so that its reports up to LastSeq
@@ -31,17 +35,20 @@
 	LastSeq int64
 }
 
-// outdates reports whether a report is of the departed start and not newer than its departure, or
-// of an earlier start of the target. Without a start time, this holds for the reports of starts before
-// the departure, for the time in which late ones may arrive.
-func (d Departure) outdates(r Report, now time.Time) bool {
+// outdates reports whether a report is of the departed start and not newer than its departure.
+func (d Departure) outdates(r Report) bool {
+	return d.StartedAt > 0 && d.ID == r.ID && d.StartedAt == r.StartedAt && r.Seq <= d.LastSeq
+}
+
+// doubts reports whether a report could be a late one of a start of the target before the departed one:
+// its start time is the earlier one. Where the departed start is not known, this holds for the reports
+// of starts before the departure, for the time in which late ones may arrive.
+func (d Departure) doubts(r Report, now time.Time) bool {
 	switch {
 	case d.ID != r.ID:
 		return false
 	case d.StartedAt == 0:
-		return r.StartedAt <= d.At && now.Sub(time.UnixMilli(d.At)) < lateReportTime
-	case d.StartedAt == r.StartedAt:
-		return r.Seq <= d.LastSeq
+		return r.StartedAt <= d.At+clockStep.Milliseconds() && now.Sub(time.UnixMilli(d.At)) < lateReportTime
 	}
 	return r.StartedAt < d.StartedAt
 }
@@ -53,7 +60,7 @@
 	i := slices.IndexFunc(list, func(o Departure) bool { return o.ID == d.ID && o.StartedAt == d.StartedAt })
 	if i >= 0 {
 		old := list[i]
-		if old.LastSeq >= d.LastSeq && (d.StartedAt > 0 || old.At >= d.At) {
+		if old.LastSeq >= d.LastSeq && (d.StartedAt > 0 || d.At-old.At < repeatTime.Milliseconds()) {
 			return list, false
 		}
 		d.LastSeq, d.At = max(old.LastSeq, d.LastSeq), max(old.At, d.At)
--- a/internal/node/starts/departure_test.go
+++ b/internal/node/starts/departure_test.go
@@ -24,33 +24,34 @@
 	Convey("Given a target that drains", t, func() {
 		var before, after Tracker
 		before.Announce(now, report("a", 100, 6, true))
-		applied, departed := before.Announce(now, report("a", 100, 7, false))
-		So(applied, ShouldBeTrue)
+		verdict, departed := before.Announce(now, report("a", 100, 7, false))
+		So(verdict, ShouldEqual, Applied)
 		So(departed, ShouldBeTrue)
-		after.Restore(before.Departures())
+		after.Restore(now, before.Departures())
 		Convey("later reports that it drains add nothing", func() {
-			applied, departed := before.Announce(now, report("a", 100, 8, false))
-			So(applied, ShouldBeTrue)
+			verdict, departed := before.Announce(now, report("a", 100, 8, false))
+			So(verdict, ShouldEqual, Applied)
 			So(departed, ShouldBeFalse)
 		})
 		Convey("reports that it was ready before are outdated after a restart of the node", func() {
-			applied, _ := after.Announce(now, report("a", 100, 5, true))
-			So(applied, ShouldBeFalse)
+			verdict, _ := after.Announce(now, report("a", 100, 5, true))
+			So(verdict, ShouldEqual, Outdated)
 		})
 		Convey("one that it is ready again is not, and draining once more is a departure of its own", func() {
-			applied, _ := after.Announce(now, report("a", 100, 9, true))
-			So(applied, ShouldBeTrue)
-			So(after.Leaving(now), ShouldBeFalse)
+			verdict, _ := after.Announce(now, report("a", 100, 9, true))
+			So(verdict, ShouldEqual, Applied)
+			So(after.Usable(), ShouldBeTrue)
 			_, departed := after.Announce(now, report("a", 100, 11, false))
 			So(departed, ShouldBeTrue)
-			So(after.Leaving(now), ShouldBeTrue)
+			So(after.Usable(), ShouldBeFalse)
 		})
 		Convey("its withdrawal outdates all of its reports", func() {
+			So(before.Withdraw(now, "a"), ShouldBeTrue)
 			So(before.Withdraw(now, "a"), ShouldBeTrue)
 			So(before.Withdraw(now, "a"), ShouldBeFalse)
-			So(before.Left("a", 100), ShouldBeTrue)
-			applied, _ := before.Announce(now, report("a", 100, 20, true))
-			So(applied, ShouldBeFalse)
+			So(before.StartLeaving("a", 100), ShouldBeTrue)
+			verdict, _ := before.Announce(now, report("a", 100, 20, true))
+			So(verdict, ShouldEqual, Outdated)
 		})
 	})
 }
@@ -67,6 +68,6 @@
 			tr.Withdraw(now, fmt.Sprintf("other-%d", i))
 		}
 		So(tr.Departures(), ShouldHaveLength, maxDepartures)
-		So(tr.Left("a", 100), ShouldBeTrue)
+		So(tr.Departed("a", 100), ShouldBeTrue)
 	})
 }
--- a/lab/backend/backend.go
+++ b/lab/backend/backend.go
@@ -29,6 +29,9 @@
 	// accepts, Leaving the one that says that the server is about to stop.
 	RateLimit string
 	Leaving   string
+	// ExpectTarget names the request header with the ID of the server that is meant. Another server
+	// responds with 421; without the name each one takes all requests.
+	ExpectTarget string
 }
 
 // Config describes a server.
@@ -50,6 +53,8 @@
 	CallPath string
 	// ServiceTime is the service time of a request without its nested call.
 	ServiceTime time.Duration
+	// ClockAhead is how far the time of day at which the server starts is ahead.
+	ClockAhead time.Duration
 	// Names are the header names in use.
 	Names Names
 	// CrashBody is the body of requests that crash the server as soon as one begins to run;
@@ -110,7 +115,7 @@
 	b := &Backend{
 		config:    c,
 		addr:      l.Addr().String(),
-		startedAt: time.Now().UnixMilli(),
+		startedAt: time.Now().Add(c.ClockAhead).UnixMilli(),
 		client: &http.Client{
 			Timeout: 5 * time.Second,
 		},
@@ -235,6 +240,11 @@
 		return
 	}
 	attempt := r.Header.Get(b.config.Names.Attempt)
+	if meant := r.Header.Get(b.config.Names.ExpectTarget); b.config.Names.ExpectTarget != "" && meant != "" && meant != b.config.ID {
+		w.Header().Set(b.config.Names.Attempt, attempt)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	b.mu.Lock()
 	now := b.behavior
 	run := len(b.runs)
--- a/test/departure_test.go
+++ b/test/departure_test.go
@@ -86,3 +86,36 @@
 		v.departs()
 	})
 }
+
+// isUsed reports whether the VM's server gets requests that other nodes send.
+func (v *vm) isUsed() bool {
+	v.cluster.t.Helper()
+	before := len(v.server.Runs())
+	for range 8 {
+		for _, o := range v.cluster.vms {
+			o.requestStatus(http.MethodGet, "/safe/", "key-1")
+		}
+	}
+	return len(v.server.Runs()) > before
+}
+
+// TestServeServerAfterClockStep guards against a server that gets no requests, or goes on getting them
+// after its draining was confirmed, because the time of day was set back between two of its starts.
+func TestServeServerAfterClockStep(t *testing.T) {
+	const ahead = 3 * time.Second
+	for _, id := range []string{"i-vm-0", "i-another"} {
+		Convey("The server that starts with the right time of day is used, until it drains, as "+id, t, func() {
+			c := newCluster(t)
+			v := c.vms[0]
+			v.stopServer()
+			v.startServerAs("i-vm-0", ahead)
+			c.waitFor("the first start is used", v.isUsed)
+			v.stopServer()
+			v.startServerAs(id, 0)
+			c.waitFor("the second start is used", v.isUsed)
+			v.server.Drain()
+			time.Sleep(500 * time.Millisecond)
+			So(v.isUsed(), ShouldBeFalse)
+		})
+	}
+}
--- a/test/serve_test.go
+++ b/test/serve_test.go
@@ -161,9 +161,16 @@
 const crashBody = "crash the server"
 
 func (v *vm) startServer() {
+	v.cluster.t.Helper()
+	v.startServerAs("i-"+v.name, 0)
+}
+
+// startServerAs starts a server with an ID while the time of day of the VM is ahead.
+func (v *vm) startServerAs(id string, clockAhead time.Duration) {
 	v.cluster.t.Helper()
 	c := backend.Config{
-		ID:          "i-" + v.name,
+		ID:          id,
+		ClockAhead:  clockAhead,
 		Service:     v.service,
 		Control:     v.address(portControl),
 		Outbound:    v.address(portOutbound),
@@ -175,6 +182,8 @@
 			Signature: platform.HeaderNames.Signature,
 			RateLimit: platform.HeaderNames.RateLimit,
 			Leaving:   platform.HeaderNames.Leaving,
+
+			ExpectTarget: platform.HeaderNames.ExpectTarget,
 		},
 	}
 	if v.service == "front" {
