--- a/internal/node/depart/depart_test.go
+++ b/internal/node/depart/depart_test.go
@@ -251,6 +251,31 @@
 	})
 }
 
+// TestRestoredDepartures guards against stored departures that are lost since a node that starts
+// records one before it has read them.
+func TestRestoredDepartures(t *testing.T) {
+	within(t, "Departures that the store held are stored again with one that was recorded before they were read", func() {
+		f := newFleet()
+		var stored []byte
+		r, stop := f.recorder(func(value []byte) { stored = value })
+		defer stop()
+		r.Record([]starts.Departure{departure("b")})
+		r.Restore([]starts.Departure{departure("a")})
+		departures, err := Decode(stored)
+		So(err, ShouldBeNil)
+		So(departures, ShouldResemble, []starts.Departure{departure("b"), departure("a")})
+	})
+	within(t, "Nothing is written if all was read before", func() {
+		f := newFleet()
+		writes := 0
+		r, stop := f.recorder(func([]byte) { writes++ })
+		defer stop()
+		r.Restore([]starts.Departure{departure("a")})
+		r.Record([]starts.Departure{departure("a")})
+		So(writes, ShouldEqual, 0)
+	})
+}
+
 // TestRecall guards against a node that uses its target after a restart although it has confirmed
 // before that the target has left.
 func TestRecall(t *testing.T) {
--- a/internal/node/depart/recorder.go
+++ b/internal/node/depart/recorder.go
@@ -142,18 +142,35 @@
 
 // Record makes departures durable, in the background.
 func (r *Recorder) Record(departures []starts.Departure) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if merged, changed := starts.MergeAll(r.departures, departures); changed {
+		r.save(merged)
+	}
+}
+
+// Restore takes over departures that the store holds. What was recorded before they were read has
+// replaced them there, so that they are stored again.
+func (r *Recorder) Restore(departures []starts.Departure) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	merged, changed := starts.MergeAll(r.departures, departures)
-	if !changed {
+	if changed && r.revision > 0 {
+		r.save(merged)
 		return
 	}
-	value, err := cbor.Marshal(merged)
+	r.departures = merged
+}
+
+// save has a list of departures stored, and held by other nodes if the store does not take it; r.mu must
+// be held.
+func (r *Recorder) save(departures []starts.Departure) {
+	value, err := cbor.Marshal(departures)
 	if err != nil {
 		r.log.Error().Err(err).Msg("departures not encoded")
 		return
 	}
-	r.departures, r.value = merged, value
+	r.departures, r.value = departures, value
 	r.revision++
 	r.store(value)
 	select {
@@ -162,13 +179,6 @@
 	}
 }
 
-// Restore takes over departures that the store holds.
-func (r *Recorder) Restore(departures []starts.Departure) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.departures, _ = starts.MergeAll(r.departures, departures)
-}
-
 // Stored records that the store has taken a value.
 func (r *Recorder) Stored(value []byte) {
 	r.mu.Lock()
