--- a/internal/node/agent/departures.go
+++ b/internal/node/agent/departures.go
@@ -36,8 +36,12 @@
 // departed makes departures durable.
 func (a *Agent) departed(departures []starts.Departure) {
 	last := departures[len(departures)-1]
+	event := "target departs"
+	if last.LastSeq == 0 {
+		event = "target started after the withdrawal of another start"
+	}
 	a.log.Info().Str("target", last.ID).Int64("born", last.StartedAt).Int64("last-seq", last.LastSeq).
-		Int("departures", len(departures)).Msg("target departs")
+		Int("departures", len(departures)).Msg(event)
 	a.departures.Record(departures)
 }
 
--- a/internal/node/starts/departure.go
+++ b/internal/node/starts/departure.go
@@ -31,7 +31,8 @@
 	StartedAt int64
 	// At is when the departure was recorded, in Unix milliseconds.
 	At int64
-	// LastSeq is the sequence number of the report that said that the target drains, or ForGood.
+	// LastSeq is the sequence number of the report that said that the target drains, or ForGood. It is
+	// 0 for a start that is present after the withdrawal of one under the same ID that was not known.
 	LastSeq int64
 }
 
--- a/internal/node/starts/departure_test.go
+++ b/internal/node/starts/departure_test.go
@@ -56,6 +56,28 @@
 	})
 }
 
+// TestNewsOfWithdrawals guards against a withdrawal that is confirmed although nobody was told of it,
+// since the tracker does not call it news.
+func TestNewsOfWithdrawals(t *testing.T) {
+	now := time.Now()
+	Convey("A withdrawal is news whenever it changes what is on record", t, func() {
+		var unknown Tracker
+		So(unknown.Withdraw(now, "a"), ShouldBeTrue)
+		So(unknown.Departures(), ShouldHaveLength, 1)
+		var drained Tracker
+		drained.Restore(now, []Departure{
+			{
+				ID:        "a",
+				StartedAt: 100,
+				At:        now.UnixMilli(),
+				LastSeq:   7,
+			},
+		})
+		So(drained.Withdraw(now, "a"), ShouldBeTrue)
+		So(drained.Departures(), ShouldHaveLength, 2)
+	})
+}
+
 // TestManyDepartures guards against a departure that is forgotten because many targets that never
 // announced themselves were withdrawn.
 func TestManyDepartures(t *testing.T) {
--- a/internal/node/starts/tracker.go
+++ b/internal/node/starts/tracker.go
@@ -105,8 +105,20 @@
 		return verdict, !r.Ready && !t.isPresent(r) && t.recordDraining(r, now)
 	}
 	wasReady := !t.isPresent(r) || t.present.Ready
+	if t.mayBeWithdrawn(r, now) {
+		departed = t.vet(r, now)
+	}
 	t.setPresent(r, now)
-	return verdict, !r.Ready && wasReady && t.recordDraining(r, now)
+	return verdict, !r.Ready && wasReady && t.recordDraining(r, now) || departed
+}
+
+// vet records that the start of a report is not the one that was withdrawn before any report of it.
+func (t *Tracker) vet(r Report, now time.Time) bool {
+	return t.record(Departure{
+		ID:        r.ID,
+		StartedAt: r.StartedAt,
+		At:        now.UnixMilli(),
+	})
 }
 
 // isPresent reports whether a report is of the present start.
@@ -150,7 +162,14 @@
 
 // inDoubt reports whether a report could be a late one of a start before one that has departed.
 func (t *Tracker) inDoubt(r Report, now time.Time) bool {
-	return slices.ContainsFunc(t.departures, func(d Departure) bool { return d.doubts(r, now) })
+	return !t.onRecord(r) && slices.ContainsFunc(t.departures, func(d Departure) bool { return d.doubts(r, now) })
+}
+
+// onRecord reports whether there is a record of the start of a report, which alone decides on its reports.
+func (t *Tracker) onRecord(r Report) bool {
+	return r.StartedAt > 0 && slices.ContainsFunc(t.departures, func(d Departure) bool {
+		return d.ID == r.ID && d.StartedAt == r.StartedAt
+	})
 }
 
 // confirm counts a report of a start that is not known to be the present one.
@@ -175,7 +194,7 @@
 // mayBeWithdrawn reports whether a report could be of a start whose withdrawal came before any report of
 // it.
 func (t *Tracker) mayBeWithdrawn(r Report, now time.Time) bool {
-	return slices.ContainsFunc(t.departures, func(d Departure) bool { return d.StartedAt == 0 && d.doubts(r, now) })
+	return !t.onRecord(r) && slices.ContainsFunc(t.departures, func(d Departure) bool { return d.StartedAt == 0 && d.doubts(r, now) })
 }
 
 // isCandidate reports whether a report follows one of the same start that was not confirmed.
@@ -228,13 +247,15 @@
 	switch {
 	case !t.known:
 		// It may be that of a start of which this process has not heard.
-		t.withdrawEarlier(now, id, startedAt)
+		if startedAt > 0 {
+			isNews = t.withdrawEarlier(now, id, startedAt) || isNews
+		}
 		return t.WithdrawStart(now, id, 0) || isNews
 	case t.present.ID != id:
 		return t.withdrawEarlier(now, id, startedAt) || isNews
 	case isLate && t.present.Ready:
 		t.leftAt = now
-		t.withdrawEarlier(now, id, startedAt)
+		isNews = t.withdrawEarlier(now, id, startedAt) || isNews
 		return t.leaveUntilReport(t.present, now) || isNews
 	case t.leftUntilReport() && now.Sub(t.leftAt) < repeatTime:
 		// The withdrawal is repeated.
@@ -314,12 +335,14 @@
 	})
 }
 
-// Restore adds departures that an earlier process of the node has recorded. A present start that they
-// cast doubt on must be confirmed again.
+// Restore adds departures that an earlier process of the node has recorded. A present start that one of
+// them casts doubt on must be confirmed again.
 func (t *Tracker) Restore(now time.Time, departures []Departure) {
-	t.departures, _ = MergeAll(t.departures, departures)
-	if t.known && t.mayBeWithdrawn(t.present, now) {
-		t.known = false
+	for _, d := range departures {
+		isNews := t.record(d)
+		if isNews && d.StartedAt == 0 && d.doubts(t.present, now) && !t.onRecord(t.present) {
+			t.known = false
+		}
 	}
 }
 
@@ -347,7 +370,7 @@
 // binds.
 func (t *Tracker) Departed(id string, startedAt int64) bool {
 	return slices.ContainsFunc(t.departures, func(d Departure) bool {
-		return d.ID == id && d.StartedAt == startedAt
+		return d.ID == id && d.StartedAt == startedAt && d.LastSeq > 0
 	})
 }
 
