mesh/peers: a node that starts while the store is away asks whoever it hears for the others

What callers saw: while the store is away, the nodes of a failure domain that start at the same time know nobody.

Change: until it has read the records of the store, a node asks the sender of a heartbeat or digest for the known nodes of its own domain and one live node of each other domain, each 0.3 s at most and for 10 s at most. It uses the request for records that exists.

TestDomainStartsWithoutRecords failed before in both parts.

--- a/internal/mesh/peers/digest.go
+++ b/internal/mesh/peers/digest.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"math"
 	"strconv"
 	"time"
 
@@ -166,7 +165,7 @@
 }
 
 // receiveResend sends the records of the live nodes of a domain to the node that requests
-// them. They are marked as relayed, and as a part of a round that is never complete.
+// them, or of those from which it can learn of all others.
 func (p *Peers) receiveResend(m message) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -174,6 +173,10 @@
 	if !ok {
 		return
 	}
+	if m.About == aboutAll {
+		p.sendAll(&to.node)
+		return
+	}
 	domain := p.self.Domain
 	if about, ok := p.others[m.About]; ok {
 		domain = about.node.Domain
@@ -187,13 +190,5 @@
 			nodes = append(nodes, o.node)
 		}
 	}
-	for part := 0; part*maxNodes < len(nodes); part++ {
-		_ = p.transmit(&to.node, kindDigest, encode(message{
-			From:    m.About,
-			Kind:    kindDigest,
-			Nodes:   page(nodes, part, maxNodes),
-			Parts:   math.MaxUint8,
-			Relayed: true,
-		}))
-	}
+	p.sendRecords(&to.node, m.About, nodes)
 }
--- a/internal/mesh/peers/node.go
+++ b/internal/mesh/peers/node.go
@@ -137,7 +137,7 @@
 	// kindCrash carries evidence of crashes of targets.
 	kindCrash
 	// kindResend requests the whole records of the nodes of a domain, which a digest named
-	// by load only.
+	// by load only, or those from which a node that starts can learn of all others.
 	kindResend
 	// kindCrashPull requests the evidence of crashes that the sender lacks.
 	kindCrashPull
--- a/internal/mesh/peers/peers.go
+++ b/internal/mesh/peers/peers.go
@@ -77,6 +77,10 @@
 	// platform's store were read since, or that aloneAfter has passed.
 	firstTick timer.Instant
 	learned   atomic.Bool
+	// listed says that the records of the store were read, acquaintedAt when another node was last
+	// asked for the nodes that it knows.
+	listed       bool
+	acquaintedAt timer.Instant
 }
 
 // peer is another node and the state of its failure detection.
@@ -212,6 +216,7 @@
 		_ = p.transmit(&n, kindHeartbeat, heartbeat)
 	}
 	p.learned.Store(true)
+	p.listed = true
 	p.publish()
 }
 
--- a/internal/mesh/peers/peers_test.go
+++ b/internal/mesh/peers/peers_test.go
@@ -410,8 +410,9 @@
 		setEpoch := func(name string, epoch int64) {
 			net.nodes[name].Update(net.now, true, func(n *Node) { n.StoreEpoch = epoch })
 		}
-		setEpoch("d0-n0", 2)
+		// Messages are delivered at once: the node that is not to be told must know first.
 		setEpoch("d0-n1", 3)
+		setEpoch("d0-n0", 2)
 		net.run(time.Second)
 		net.mu.Lock()
 		defer net.mu.Unlock()
@@ -469,6 +470,56 @@
 	})
 }
 
+// TestDomainStartsWithoutRecords guards against the nodes of a failure domain that start at the same time
+// while the store is away, and hear of each other and of the other domains only after seconds.
+func TestDomainStartsWithoutRecords(t *testing.T) {
+	const perDomain = 4
+	names := make([]string, perDomain)
+	for n := range names {
+		names[n] = fmt.Sprintf("d0-n%d", n)
+	}
+	Convey("They know each other and a node of each other domain within 1.5 s", t, func() {
+		net := newNetwork(4, perDomain)
+		net.setDisconnected(true, names...)
+		net.run(500 * time.Millisecond)
+		net.setDisconnected(false, names...)
+		for n := range names {
+			net.start(0, n, 2)
+		}
+		net.run(1500 * time.Millisecond)
+		for _, name := range names {
+			v := net.nodes[name].View()
+			_, domains := v.Size()
+			So(domains, ShouldEqual, 4)
+			So(v.localAlive, ShouldEqual, perDomain)
+		}
+	})
+	Convey("So do the keepers of all domains", t, func() {
+		net := newNetwork(4, perDomain)
+		var keepers []string
+		for _, p := range net.nodes {
+			if p.Self().Keeper == p.Self().Name {
+				keepers = append(keepers, p.Self().Name)
+			}
+		}
+		So(keepers, ShouldHaveLength, 4)
+		net.setDisconnected(true, keepers...)
+		net.run(500 * time.Millisecond)
+		net.setDisconnected(false, keepers...)
+		for _, name := range keepers {
+			var d, n int
+			_, err := fmt.Sscanf(name, "d%d-n%d", &d, &n)
+			So(err, ShouldBeNil)
+			net.start(d, n, 2)
+		}
+		net.run(1500 * time.Millisecond)
+		for _, name := range keepers {
+			_, domains := net.nodes[name].View().Size()
+			So(domains, ShouldEqual, 4)
+		}
+	})
+}
+
 // nodesAware returns the number of nodes that know of a crash during which a request ran.
 func (net *network) nodesAware(f crash.Fingerprint) (n int) {
 	for _, c := range net.crashes {
--- a/internal/mesh/peers/receive.go
+++ b/internal/mesh/peers/receive.go
@@ -69,6 +69,7 @@
 		}
 	}
 	p.pullCrashes(now, address, m)
+	p.requestAll(now, address)
 	if m.Kind == kindDigest {
 		changed = p.receiveDigest(m, received, allKnown) || changed
 		if !allKnown {
