node/model: targets that leave and start again among kills, troubles of the store and clock steps

The real gate, starts, depart, watch and peers on virtual time. Checked: a confirmed leaving binds after drain_ms, a leaving is confirmed within ack_ms, a target that works is used within four reports.

--- a/internal/node/model/fleet_test.go
+++ b/internal/node/model/fleet_test.go
@@ -42,6 +42,8 @@
 	store  *store
 	nodes  []*node
 	byName map[string]*node
+	// targets are the targets that leave and start again, by node; nil if there are none.
+	targets map[string]*leaver
 
 	mu sync.Mutex
 	// rng decides the scenario.
--- a/internal/node/model/node_test.go
+++ b/internal/node/model/node_test.go
@@ -67,11 +67,14 @@
 
 // process is the real code that keeps the configuration on a node.
 type process struct {
-	node    *node
-	peers   *peers.Peers
-	watcher *watch.Watcher
-	fetcher *fetch.Fetcher
-	crashes *poison.Tracker
+	node      *node
+	startedAt time.Time
+	peers     *peers.Peers
+	watcher   *watch.Watcher
+	fetcher   *fetch.Fetcher
+	crashes   *poison.Tracker
+	// departures is nil in simulations without targets that leave.
+	departures *departures
 	// ended says that the process has ended: a call that was in flight has no effect any more.
 	ended atomic.Bool
 	stops []func()
@@ -106,7 +109,8 @@
 	self.Incarnation = time.Now().UnixNano()
 	self.Keeper = n.name
 	p := &process{
-		node: n,
+		node:      n,
+		startedAt: time.Now(),
 	}
 	client := &storeClient{
 		store: f.store,
@@ -122,11 +126,18 @@
 		peers.WithCrashes(p.crashes))
 	log := zerolog.New(logLine{node: n})
 	var stopWatcher, stopFetcher func()
-	p.watcher, stopWatcher = watch.New(n.name, []byte(n.name), client, view{process: p}, topics, parse, watch.WithLog(log), watch.WithOnApply(p.applied))
+	options := []watch.Option{watch.WithLog(log), watch.WithOnApply(p.applied)}
+	if f.targets != nil {
+		options = append(options, p.startDepartures(log)...)
+	}
+	p.watcher, stopWatcher = watch.New(n.name, []byte(n.name), client, view{process: p}, topics, parse, options...)
 	p.fetcher, stopFetcher = fetch.New(configuration{process: p}, links{node: n}, p.peers.View, fetch.WithLog(log))
 	done := make(chan struct{})
-	p.stops = []func(){stopWatcher, stopFetcher, func() { close(done) }}
+	p.stops = append(p.stops, stopWatcher, stopFetcher, func() { close(done) })
 	n.process.Store(p)
+	if p.departures != nil {
+		p.departures.recall(log)
+	}
 	go p.tick(done)
 }
 
@@ -321,6 +332,9 @@
 
 func (v view) Learn(records []watch.Record) {
 	var nodes []peers.Node
+	if v.process.departures != nil {
+		v.process.departures.listed(records)
+	}
 	for _, r := range records {
 		if other, ok := v.process.node.fleet.byName[string(r.Value)]; ok {
 			nodes = append(nodes, other.record())
