--- a/lab/backend/backend.go
+++ b/lab/backend/backend.go
@@ -98,7 +98,9 @@
 	behavior  behavior
 	state     string
 	seq       int
-	done      chan struct{}
+	// silent says that the server sends no announcements any more.
+	silent bool
+	done   chan struct{}
 	// stop stops the server, once.
 	stop func()
 	// crashed is closed when a request has crashed the server.
@@ -207,6 +209,24 @@
 // follows soon.
 func (b *Backend) announce() {
 	b.mu.Lock()
+	silent := b.silent
+	b.mu.Unlock()
+	if !silent {
+		b.Send(b.Report())
+	}
+}
+
+// StopReports ends the announcements, as a server does that withdraws itself.
+func (b *Backend) StopReports() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.silent = true
+}
+
+// Report returns the body of the next announcement.
+func (b *Backend) Report() []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.seq++
 	body, err := json.Marshal(map[string]any{
 		"service":      b.config.Service,
@@ -219,10 +239,14 @@
 		"seq":          b.seq,
 		"born":         b.startedAt,
 	})
-	b.mu.Unlock()
 	if err != nil {
-		return
+		panic("backend: encode report: " + err.Error())
 	}
+	return body
+}
+
+// Send sends an announcement, which may be an old one that arrives late, and ignores its failure.
+func (b *Backend) Send(body []byte) {
 	req, err := http.NewRequest(http.MethodPut, "http://"+b.config.Control+"/v1/instances/"+b.config.ID, bytes.NewReader(body))
 	if err != nil {
 		return
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -88,10 +88,15 @@
 	silenceAfter time.Duration
 	// arrivals decides when and where the request that crashes servers comes in.
 	arrivals *rand.Rand
+	// departing is the VM whose server withdraws itself, with the node that is killed right after.
+	departing *departing
+	// restoredAt are the times at which the store was restored.
+	restoredAt []time.Time
 }
 
 // TestSoak guards against broken promises where faults overlap: restarts, kills and pauses of
-// nodes, limits and departures that servers name in responses, outages and restores of the store,
+// nodes, limits and departures that servers name in responses, a server that withdraws itself and
+// whose failure domain is killed right after the confirmation, outages and restores of the store,
 // connections to it that go silent, changes of the configuration, and a request that crashes the servers which run it, beside
 // callers that use their connections until they end.
 func TestSoak(t *testing.T) {
@@ -143,6 +148,8 @@
 		silenceAfter: time.Duration(rand.New(rand.NewPCG(seed, 1)).Int64N(int64(soakTime / 2))),
 		arrivals:     rand.New(rand.NewPCG(seed, 2)),
 	}
+	s.departing = newDeparting(rand.New(rand.NewPCG(seed, 3)), s.vms)
+	s.leaving[s.departing.vm] = true
 	s.copies = []store.Copy{s.initial, s.store.Copy()}
 	for _, v := range s.vms {
 		s.busy[v] = &sync.Mutex{}
@@ -161,6 +168,7 @@
 		}
 	}
 	s.silenceConnections()
+	s.faults.Go(s.depart)
 	callers.Go(func() { s.sendCrashing(done) })
 	for end := time.Now().Add(soakTime); time.Now().Before(end); {
 		s.fault()
@@ -270,6 +278,7 @@
 		time.Sleep(outage)
 		s.mu.Lock()
 		s.store.Restore(older)
+		s.restoredAt = append(s.restoredAt, time.Now())
 		s.mu.Unlock()
 		s.store.SetFault(store.NoFault)
 		time.Sleep(delay)
--- a/test/soakcheck_test.go
+++ b/test/soakcheck_test.go
@@ -35,6 +35,7 @@
 		callers[o.id] = o.vm
 	}
 	broken = append(broken, s.checkCrashing(callers)...)
+	broken = append(broken, s.checkDeparture()...)
 	for server, runs := range byServer {
 		var arrivals []arrival
 		for _, r := range runs {
