pipe/httpc: TestSilentConnections does not depend on how soon its goroutines start

It sends three requests at once and took it that each takes 20 ms, so that none finds an idle connection; a goroutine that starts later than that does. Now no request is answered before the peer has three connections.

--- a/internal/pipe/httpc/silence_test.go
+++ b/internal/pipe/httpc/silence_test.go
@@ -19,8 +19,10 @@
 	// silenced is the number of the first connections that are silent.
 	silenced atomic.Int64
 	opened   atomic.Int64
-	// delay is how long requests take.
-	delay atomic.Int64
+	// delay is how long requests take. None is answered before as many connections are open as awaited
+	// says.
+	delay   atomic.Int64
+	awaited atomic.Int64
 }
 
 func newSilentPeer(t *testing.T) *silentPeer {
@@ -33,8 +35,6 @@
 	p := &silentPeer{
 		address: l.Addr().String(),
 	}
-	// All connections that the test opens at once are in use until it goes on.
-	p.delay.Store(int64(20 * time.Millisecond))
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -60,6 +60,9 @@
 		}
 		_ = req.Body.Close()
 		time.Sleep(time.Duration(p.delay.Load()))
+		for p.opened.Load() < p.awaited.Load() {
+			time.Sleep(time.Millisecond)
+		}
 		if _, err := c.Write([]byte(okResponse)); err != nil {
 			return
 		}
@@ -71,6 +74,7 @@
 func TestSilentConnections(t *testing.T) {
 	Convey("Given open connections of which one turns out to be silent", t, func() {
 		peer := newSilentPeer(t)
+		peer.awaited.Store(3)
 		p, stop := New(peer.address, WithAttemptHeader("X-Id"), WithSilenceCheck(50*time.Millisecond))
 		defer stop()
 		results := make(chan error, 3)
@@ -114,6 +118,7 @@
 		peer := newSilentPeer(t)
 		p, stop := New(peer.address, WithAttemptHeader("X-Id"), WithSilenceCheck(minSilenceCheck))
 		peer.delay.Store(int64(2 * minSilenceCheck))
+		peer.awaited.Store(2)
 		defer stop()
 		results := make(chan error, 2)
 		for range 2 {
