node/model: several runs at once on one target end one target

Cause, from a trace of a failing run: the checker counted sends, not targets. Request 0 came in three times at 9.034 s, all three ran on n0-2 at that instant, and the end of that one target was counted three times ("target of n0-2 crashes; 3 requests ran", then twice "0 requests ran"). Three targets ended under it, all in all.

Ruled out: evidence that spreads late. Its crashes were noticed in time, and the request was refused from the third one on.

Change: a run names the start of the target that it ran on; a start ends once, and the check counts starts. Its bound, 4, is the same, as is the check of late sends, which counts each send. inTime is called excused, which it meant. TestRunsAtOnceEndOneTarget plays the case without chance.

--- a/internal/node/model/crash_test.go
+++ b/internal/node/model/crash_test.go
@@ -84,10 +84,20 @@
 	return true
 }
 
-// crash ends the target and returns what ran on it.
-func (t *target) crash() (running []crash.Fingerprint) {
+// started returns the number of the present start of the target.
+func (t *target) started() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.start
+}
+
+// crash ends a start of the target and returns what ran on it, nothing if that start has ended before.
+func (t *target) crash(start int) (running []crash.Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.start != start {
+		return nil
+	}
 	for _, f := range t.running {
 		running = append(running, f)
 	}
@@ -98,10 +108,18 @@
 	return running
 }
 
+// targetStart is one start of the target beside a node.
+type targetStart struct {
+	node  string
+	start int
+}
+
 // deadlySend is a run of a crashing request.
 type deadlySend struct {
-	at     time.Time
-	inTime bool
+	at time.Time
+	// on is the start that ended under the request.
+	on      targetStart
+	excused bool
 }
 
 // workload is the load of a simulation and what the checker sees of it.
@@ -203,8 +221,8 @@
 		}
 	}
 	if deadly {
-		w.recordSend(f, from, to)
-		w.crash(to)
+		w.recordSend(f, from, to, start)
+		w.crash(to, start)
 		return
 	}
 	time.Sleep(time.Duration(5+rand.IntN(50)) * time.Millisecond)
@@ -213,14 +231,18 @@
 	}
 }
 
-// crash ends the target beside a node, whose gate notices that a moment later.
-func (w *workload) crash(n *node) {
-	running := w.targets[n.name].crash()
+// crash ends a start of the target beside a node, whose gate notices that a moment later. It does nothing
+// if that start has ended before.
+func (w *workload) crash(n *node, start int) {
+	running := w.targets[n.name].crash(start)
+	if len(running) == 0 {
+		return
+	}
 	p := n.process.Load()
 	w.fleet.note("target of %s crashes; %d requests ran", n.name, len(running))
 	time.AfterFunc(time.Duration(rand.Int64N(int64(maxDetection))), func() {
 		n.waitWhileFrozen()
-		if p != nil && !p.ended.Load() && len(running) > 0 {
+		if p != nil && !p.ended.Load() {
 			p.crashes.RecordCrash(crash.NewID(), running)
 		}
 	})
@@ -247,16 +269,17 @@
 	}
 }
 
-// recordSend records that a crashing request was sent to a target. It is in time unless both nodes
-// are in touch.
-func (w *workload) recordSend(f crash.Fingerprint, from, to *node) {
+// recordSend records that a crashing request was sent to a target, which has the given start. It is
+// excused unless both nodes are in touch.
+func (w *workload) recordSend(f crash.Fingerprint, from, to *node, start int) {
 	w.fleet.note("crashing request %d, at %s, runs beside %s", f-firstDeadly, from.name, to.name)
 	excused := !w.fleet.inTouch(from) || !w.fleet.inTouch(to)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sends[f] = append(w.sends[f], deadlySend{
-		at:     time.Now(),
-		inTime: excused,
+		at:      time.Now(),
+		on:      targetStart{node: to.name, start: start},
+		excused: excused,
 	})
 }
 
@@ -276,13 +299,23 @@
 	}
 	from := sends[2].at.Add(stableTime)
 	for _, s := range sends {
-		if s.at.After(from) && !s.inTime {
+		if s.at.After(from) && !s.excused {
 			n++
 		}
 	}
 	return n
 }
 
+// endedTargets returns how many targets ended under the runs of a crashing request. Several runs at once on one
+// target end it once.
+func endedTargets(sends []deadlySend) int {
+	starts := map[targetStart]bool{}
+	for _, s := range sends {
+		starts[s.on] = true
+	}
+	return len(starts)
+}
+
 // ordinaryLoad sends ordinary requests at a node until the end: some of them once, some again and
 // again.
 func (w *workload) ordinaryLoad(n *node, end time.Duration) {
@@ -336,7 +369,7 @@
 		}
 		for range plan.crashes {
 			n := f.nodes[f.random(len(f.nodes))]
-			time.AfterFunc(settleTime+time.Duration(f.random(25_000))*time.Millisecond, func() { w.crash(n) })
+			time.AfterFunc(settleTime+time.Duration(f.random(25_000))*time.Millisecond, func() { w.crash(n, w.targets[n.name].started()) })
 		}
 		for i := range plan.deadly {
 			service := f.random(services)
@@ -374,7 +407,7 @@
 	}
 	worst := crash.Fingerprint(0)
 	for f, sends := range w.sends {
-		r.ended = append(r.ended, len(sends))
+		r.ended = append(r.ended, endedTargets(sends))
 		if n := late(sends); n > r.late {
 			r.late, worst = n, f
 		}
@@ -382,7 +415,7 @@
 	if r.late <= maxLateSends {
 		return r
 	}
-	r.report = fmt.Sprintf("request %d was sent %d times later than %v after its third crash; %d targets ended under it", worst-firstDeadly, r.late, stableTime, len(w.sends[worst]))
+	r.report = fmt.Sprintf("request %d was sent %d times later than %v after its third crash; %d targets ended under it", worst-firstDeadly, r.late, stableTime, endedTargets(w.sends[worst]))
 	for _, e := range w.fleet.events {
 		if e.node == "" {
 			r.report += "\n" + e.text
@@ -476,3 +509,30 @@
 		burst:  true,
 	}, crashesAimed+1, 4)
 }
+
+// TestRunsAtOnceEndOneTarget guards against a checker that takes several runs of a crashing request at once on one
+// target for several targets that ended.
+func TestRunsAtOnceEndOneTarget(t *testing.T) {
+	f := newFleet(1, 1, 1)
+	w := newWorkload(f)
+	n := f.nodes[0]
+	beside := w.targets[n.name]
+	var starts []int
+	for range 3 {
+		_, start, ok := beside.begin(firstDeadly, false)
+		if !ok {
+			t.Fatal("the target does not take a run")
+		}
+		starts = append(starts, start)
+	}
+	for _, start := range starts {
+		w.recordSend(firstDeadly, n, n, start)
+		w.crash(n, start)
+	}
+	if got := endedTargets(w.sends[firstDeadly]); got != 1 {
+		t.Errorf("%d targets ended, want 1", got)
+	}
+	if got := beside.started(); got != 1 {
+		t.Errorf("the target has ended %d times, want 1", got)
+	}
+}
