--- a/internal/quota/lease/lease_test.go
+++ b/internal/quota/lease/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -222,6 +223,58 @@
 	})
 }
 
+// TestHotWorkspaceWhileItsOwnerAndOthersAreCutOff guards against overspending when a workspace asks for far more than its
+// limit while nine of 24 nodes are cut off, its owner with one more node, three others together and four each alone:
+// until the cut is noticed, the owner goes on with the whole limit and the brokers that it can't reach with their parts.
+func TestHotWorkspaceWhileItsOwnerAndOthersAreCutOff(t *testing.T) {
+	worst := -1e9
+	for seed := range uint64(5) {
+		inBubble(t, func() {
+			f := newFleet(6, 4, map[string]Limit{
+				"w": {
+					Rate:  80,
+					Burst: 80,
+				},
+			})
+			f.rng = rand.New(rand.NewPCG(seed, 1))
+			load := map[string]float64{"w": 80.0 / 2}
+			f.offer(2*time.Second, load, everywhere)
+			load["w"] *= 8
+			f.offer(1500*time.Millisecond, load, everywhere)
+			f.cutOffWithOthers(f.byName[f.members[0].Owners("w").Owner])
+			f.offer(6*time.Second, load, everywhere)
+			excess := f.worstExcess()
+			t.Logf("seed %d: %.0f beyond the limits", seed, excess)
+			worst = max(worst, excess)
+		})
+	}
+	Convey("All nodes together stay within the limits", t, func() {
+		So(worst, ShouldBeLessThanOrEqualTo, 0)
+	})
+}
+
+// cutOffWithOthers cuts off a node with one more of its domain, the nodes of another domain but one, and one node of each
+// remaining domain.
+func (f *fleet) cutOffWithOthers(m *member) {
+	const together, domain, alone = 1, 2, 10
+	withM := 0
+	for i, o := range f.members {
+		distance := (o.domain - m.domain + f.domains) % f.domains
+		first := i == 0 || f.members[i-1].domain != o.domain
+		switch {
+		case o == m:
+			o.change(true, together)
+		case distance == 0 && withM == 0:
+			withM++
+			o.change(true, together)
+		case distance == 2 && !first:
+			o.change(true, domain)
+		case distance != 0 && distance != 2 && first:
+			o.change(true, alone+i)
+		}
+	}
+}
+
 // TestAllTrafficAtOneNode guards against refusals within the limit when all callers of a
 // workspace are at one node, or come there in quick succession as they do when they retry.
 func TestAllTrafficAtOneNode(t *testing.T) {
