--- a/internal/node/model/departure_test.go
+++ b/internal/node/model/departure_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -166,6 +165,7 @@
 }
 
 func (l departureLinks) Hold(ctx context.Context, at peers.Node, r depart.Record, reach depart.Reach) error {
+	l.node.fleet.departureSent(r)
 	p, err := l.reach(ctx, at)
 	if err != nil {
 		return err
@@ -360,10 +360,11 @@
 }
 
 // simulateDepartures lets targets leave and start again among kills, troubles of the store and clock
-// steps, and returns what broke and how long confirmations took.
-func simulateDepartures(t *testing.T, seed uint64, size int) (broken string, waits []time.Duration) {
+// steps, and returns what broke and what the departures took.
+func simulateDepartures(t *testing.T, seed uint64, size int) (broken string, costs *departureCosts) {
 	synctest.Test(t, func(*testing.T) {
 		f := newFleet(seed, sizes[size][0], sizes[size][1])
+		costs = &f.departureCosts
 		f.targets = map[string]*leaver{}
 		f.publish(1)
 		for _, n := range f.nodes {
@@ -374,17 +375,15 @@
 			time.AfterFunc(time.Duration(f.random(300))*time.Millisecond, n.start)
 			time.AfterFunc(time.Second+time.Duration(f.random(500))*time.Millisecond, func() { l.start("t-"+n.name, 0) })
 		}
-		var mu sync.Mutex
 		for round := range 3 {
 			at := 8*time.Second + time.Duration(round)*11*time.Second
 			time.AfterFunc(at-time.Duration(f.random(500))*time.Millisecond, f.storeTrouble)
 			for _, n := range f.some(1 + f.random(3)) {
 				l, drains := f.targets[n.name], f.random(2) == 0
 				time.AfterFunc(at+time.Duration(f.random(1000))*time.Millisecond, func() {
+					s := f.situationOf(n)
 					l.leave(drains, func() {
-						mu.Lock()
-						waits = append(waits, l.confirmedAt.Sub(l.leavingSince))
-						mu.Unlock()
+						f.leavingConfirmed(s, l.confirmedAt.Sub(l.leavingSince))
 						f.killAround(n)
 					})
 					time.Sleep(time.Duration(f.random(1500)) * time.Millisecond)
@@ -413,7 +412,7 @@
 		}
 		time.Sleep(15 * time.Second)
 	})
-	return broken, waits
+	return broken, costs
 }
 
 // checkTargets checks all targets, and returns what is broken with the timeline of its node.
@@ -443,16 +442,16 @@
 	first, last := seeds(t, 40)
 	nodes := size(t)
 	var mu sync.Mutex
-	var waits []time.Duration
+	var costs departureCosts
 	failed := 0
 	t.Run("seeds", func(t *testing.T) {
 		for seed := first; seed <= last; seed++ {
 			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 				t.Parallel()
-				broken, w := simulateDepartures(t, seed, nodes)
+				broken, c := simulateDepartures(t, seed, nodes)
 				mu.Lock()
 				defer mu.Unlock()
-				waits = append(waits, w...)
+				costs.add(c)
 				if broken != "" {
 					failed++
 					t.Errorf("seed %d: %s", seed, broken)
@@ -460,9 +459,6 @@
 			})
 		}
 	})
-	slices.Sort(waits)
-	if n := len(waits); n > 0 {
-		t.Logf("%d nodes, %d seeds, %d broken; %d confirmations: median %v, 99 in 100 %v, most %v", nodes, last-first+1, failed, n,
-			waits[n/2].Round(time.Millisecond), waits[n*99/100].Round(time.Millisecond), waits[n-1].Round(time.Millisecond))
-	}
+	t.Logf("%d nodes, %d seeds, %d broken", nodes, last-first+1, failed)
+	costs.report(t)
 }
--- a/internal/node/model/fleet_test.go
+++ b/internal/node/model/fleet_test.go
@@ -44,6 +44,8 @@
 	byName map[string]*node
 	// targets are the targets that leave and start again, by node; nil if there are none.
 	targets map[string]*leaver
+	// departureCosts counts what their leaving takes.
+	departureCosts departureCosts
 
 	mu sync.Mutex
 	// rng decides the scenario.
--- a/internal/node/model/store_test.go
+++ b/internal/node/model/store_test.go
@@ -190,10 +190,15 @@
 // Put stores a record of a node.
 func (c *storeClient) Put(_ string, r watch.Record, _ watch.Order) (int64, error) {
 	var epoch int64
+	written := false
 	err := c.call(putTimeout, func() {
 		c.store.nodes[r.Key] = r
 		epoch = c.store.epoch
+		written = true
 	})
+	if written {
+		c.node.fleet.departureWritten(c.node, r.Key, r.Value)
+	}
 	return epoch, err
 }
 
