test: in the soak the store is away while a server departs

Change: in half of the departures the store is away from before the withdrawal until the old report has arrived. Other faults of the store wait for it to be over or are left out, so that none ends it; which seed draws which faults is as before. A departure then is excused only if each node of the other domain was disturbed from 1 s before the confirmation to 1 s after the old report: one that was not holds it. Where the store works, the excuse for restores is as it was.

--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -84,6 +84,9 @@
 	log         []string
 	// copies are earlier contents of the store.
 	copies []store.Copy
+	// storeFaults is held for reading by each fault of the store, and for writing while a departure needs the
+	// store to be away, so that none of them ends that.
+	storeFaults sync.RWMutex
 	// silenceAfter is when the open connections to the store go silent.
 	silenceAfter time.Duration
 	// arrivals decides when and where the request that crashes servers comes in.
@@ -212,9 +215,13 @@
 		s.leave(v)
 	case 6:
 		fault := []store.Fault{store.Unavailable, store.NoResponse, store.ResponseLost}[s.random.IntN(3)]
+		if !s.storeFaults.TryRLock() {
+			return
+		}
 		s.note("store fault %d for %v", fault, duration)
 		s.store.SetFault(fault)
 		s.faults.Go(func() {
+			defer s.storeFaults.RUnlock()
 			time.Sleep(duration)
 			s.store.SetFault(store.NoFault)
 		})
@@ -271,6 +278,9 @@
 func (s *soak) restoreStore(outage time.Duration) {
 	older := s.copies[s.random.IntN(len(s.copies))]
 	delay := time.Duration(s.random.IntN(2)) * outage
+	if !s.storeFaults.TryRLock() {
+		return
+	}
 	s.copies = append(s.copies, s.store.Copy())
 	s.note("the store is away for %v and restored, the configuration %v later", outage, delay)
 	s.store.SetFault(store.Unavailable)
@@ -281,6 +291,7 @@
 		s.restoredAt = append(s.restoredAt, time.Now())
 		s.mu.Unlock()
 		s.store.SetFault(store.NoFault)
+		s.storeFaults.RUnlock()
 		time.Sleep(delay)
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/test/soakcheck_test.go
+++ b/test/soakcheck_test.go
@@ -148,11 +148,20 @@
 		}
 	}
 	if most := mostInWindow(counted, n.from); most > allowed {
-		broken = append(broken, fmt.Sprintf("a server that named the limit %s at %s got %d requests in %v, %d allowed", n.value, n.from.Format("05.000"), most, limitWindow, allowed))
+		broken = append(broken, fmt.Sprintf("a server that named the limit %s at %s got %d requests in %v, %d allowed: %s", n.value, n.from.Format("05.000"), most, limitWindow, allowed, arrivalsOf(counted)))
 	}
 	return broken
 }
 
+// arrivalsOf lists the requests of a server by their times, so that a broken limit can be traced.
+func arrivalsOf(runs []backend.Run) string {
+	var list []string
+	for _, r := range runs {
+		list = append(list, r.Attempt+" at "+r.At.Format("05.000"))
+	}
+	return strings.Join(list, ", ")
+}
+
 const (
 	// maxLateSends is how often a request that has crashed three servers may reach one later than
 	// lateAfter, by nodes without a fault since then.
--- a/test/soakdepart_test.go
+++ b/test/soakdepart_test.go
@@ -4,16 +4,22 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
 	"fuchsiapier/lab/backend"
+	"fuchsiapier/lab/store"
 )
 
 // restoreGap is the time around a restore of the store in which a departure that the store had taken
 // may be missing there.
 const restoreGap = 3 * time.Second
 
+// holdersGap is how long before a confirmation, and after the old report, a fault of a node may keep it from
+// holding the departure or from telling of it.
+const holdersGap = 1 * time.Second
+
 // departing is a server that withdraws itself once in a soak.
 type departing struct {
 	vm *vm
@@ -22,6 +28,8 @@
 	after  time.Duration
 	domain bool
 	late   time.Duration
+	// outage says that the store is away from before the withdrawal until the old report has arrived.
+	outage bool
 	// server is the start that has left, confirmedAt when that was confirmed, zero if it was not.
 	server      *backend.Backend
 	confirmedAt time.Time
@@ -34,6 +42,7 @@
 		after:  time.Second + time.Duration(random.Int64N(int64(soakTime/3))),
 		domain: random.IntN(2) == 0,
 		late:   time.Duration(random.Int64N(int64(2 * time.Second))),
+		outage: random.IntN(2) == 0,
 	}
 }
 
@@ -47,11 +56,22 @@
 	s.mu.Unlock()
 	server.StopReports()
 	report := server.Report()
+	endOutage := func() {}
+	if d.outage {
+		s.storeFaults.Lock()
+		s.note("the store is away while the server of %s departs", d.vm.name)
+		s.store.SetFault(store.Unavailable)
+		endOutage = func() {
+			s.store.SetFault(store.NoFault)
+			s.storeFaults.Unlock()
+		}
+	}
 	confirmed := false
 	for end := time.Now().Add(soakTime); !confirmed && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		confirmed = d.vm.withdraws("i-" + d.vm.name)
 	}
 	if !confirmed {
+		endOutage()
 		s.note("the departure of the server of %s is not confirmed", d.vm.name)
 		return
 	}
@@ -68,6 +88,7 @@
 	}
 	time.Sleep(d.late)
 	server.Send(report)
+	endOutage()
 	time.Sleep(drainTime + quietTime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -95,17 +116,33 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// holdersDisturbed reports whether all nodes of the other failure domain were disturbed between the confirmation of the
+// departure and the old report, so that nobody may hold it any more. One that was not holds it.
+func (s *soak) holdersDisturbed() bool {
+	d := s.departing
+	from, to := d.confirmedAt.Add(-holdersGap), d.confirmedAt.Add(d.late+holdersGap)
+	return !slices.ContainsFunc(s.vms, func(v *vm) bool {
+		disturbed := slices.ContainsFunc(s.spans[v], func(at span) bool { return at.from.Before(to) && at.to.After(from) })
+		return v.domain != d.vm.domain && !disturbed
+	})
+}
+
+// restoredAround reports whether the store was restored around a time, so that it may have lost what it took then.
+func (s *soak) restoredAround(at time.Time) bool {
+	return slices.ContainsFunc(s.restoredAt, func(restored time.Time) bool {
+		gap := restored.Sub(at)
+		return gap > -restoreGap && gap < restoreGap
+	})
+}
+
 // checkDeparture checks that a server got no requests after its departure was confirmed.
 func (s *soak) checkDeparture() (broken []string) {
 	d := s.departing
 	if d.confirmedAt.IsZero() {
 		return nil
 	}
-	for _, at := range s.restoredAt {
-		if gap := at.Sub(d.confirmedAt); gap > -restoreGap && gap < restoreGap {
-			// The store may have lost the departure, and the node that knew of it was killed.
-			return nil
-		}
+	if d.outage && s.holdersDisturbed() || !d.outage && s.restoredAround(d.confirmedAt) {
+		return nil
 	}
 	late := 0
 	for _, r := range d.server.Runs() {
