--- a/internal/node/model/crash_test.go
+++ b/internal/node/model/crash_test.go
@@ -231,8 +231,8 @@
 	}
 }
 
-// crash ends a start of the target beside a node, whose gate notices that a moment later. It does nothing
-// if that start has ended before.
+// crash ends a start of the target beside a node, whose gate notices that a moment later if anything ran. It does
+// nothing if that start has ended before.
 func (w *workload) crash(n *node, start int) {
 	running := w.targets[n.name].crash(start)
 	if len(running) == 0 {
