--- a/internal/node/depart/recorder.go
+++ b/internal/node/depart/recorder.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// storeHeadStart is how long the store alone has to take a departure. It takes one within two
-	// round trips between regions; traffic between domains is priced by the byte.
+	// storeHeadStart is how long the store alone has to take a departure, so that nodes are asked only
+	// where it does not: traffic between domains is priced by the byte.
 	storeHeadStart = 250 * time.Millisecond
 	// holdTimeout bounds a call to a node: some round trips between regions.
 	holdTimeout = 300 * time.Millisecond
