--- a/internal/node/model/crash_test.go
+++ b/internal/node/model/crash_test.go
@@ -428,7 +428,7 @@
 // request may end, 0 for no bound.
 func runCrashes(t *testing.T, plan crashPlan, most int, few uint64) {
 	t.Helper()
-	first, last := seeds(t, few)
+	first, last := seedsToRun(t, few)
 	nodes := size(t)
 	var mu sync.Mutex
 	var ended, lates []int
--- a/internal/node/model/departure_test.go
+++ b/internal/node/model/departure_test.go
@@ -439,7 +439,7 @@
 // one whose leaving is not confirmed, and one that works and is not used, where nodes and whole failure
 // domains are killed right after a confirmation, the store fails, clocks jump and reports are late.
 func TestDeparturesAmongDisturbances(t *testing.T) {
-	first, last := seeds(t, 40)
+	first, last := seedsToRun(t, 40)
 	nodes := size(t)
 	var mu sync.Mutex
 	var costs departureCosts
--- a/internal/node/model/model_test.go
+++ b/internal/node/model/model_test.go
@@ -1,15 +1,15 @@
 package model
 
 import (
-	"fmt"
 	"os"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"fuchsiapier/lab/seeds"
 )
 
 const (
@@ -271,17 +271,10 @@
 	f.publish(v)
 }
 
-// seeds returns the seeds to run: those of FUCHSIAPIER_MODEL (first-last), else the first few.
-func seeds(t *testing.T, few uint64) (first, last uint64) {
+// seedsToRun returns the seeds of FUCHSIAPIER_MODEL (first-last), else the first few.
+func seedsToRun(t *testing.T, few uint64) (first, last uint64) {
 	t.Helper()
-	value := os.Getenv("FUCHSIAPIER_MODEL")
-	if value == "" {
-		return 1, few
-	}
-	if _, err := fmt.Sscanf(strings.ReplaceAll(value, "-", " "), "%d %d", &first, &last); err != nil {
-		t.Fatalf("FUCHSIAPIER_MODEL: want first-last, got %q", value)
-	}
-	return first, last
+	return seeds.Range(t, "FUCHSIAPIER_MODEL", 1, few)
 }
 
 // size returns the number of nodes: FUCHSIAPIER_MODEL_SIZE, else that of the smallest site.
@@ -301,7 +294,7 @@
 // run simulates all seeds, and reports those that break a bound and how long changes took.
 func run(t *testing.T, from []scenario, disturbances int, few uint64) {
 	t.Helper()
-	first, last := seeds(t, few)
+	first, last := seedsToRun(t, few)
 	nodes := size(t)
 	var mu sync.Mutex
 	var delays []time.Duration
--- a/internal/node/starts/tracker_test.go
+++ b/internal/node/starts/tracker_test.go
@@ -3,13 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"fuchsiapier/lab/seeds"
 )
 
 // announced returns the verdict on a report at a time that does not matter.
@@ -342,12 +342,7 @@
 // TestStartsAmongDisturbances guards against sequences of starts, clock steps, late reports and restarts
 // of the node after which a target that works gets no work, or one that has left does.
 func TestStartsAmongDisturbances(t *testing.T) {
-	first, last := uint64(0), uint64(9999)
-	if value := os.Getenv("FUCHSIAPIER_MODEL"); value != "" {
-		if _, err := fmt.Sscanf(strings.ReplaceAll(value, "-", " "), "%d %d", &first, &last); err != nil {
-			t.Fatalf("FUCHSIAPIER_MODEL: want first-last, got %q", value)
-		}
-	}
+	first, last := seeds.Range(t, "FUCHSIAPIER_MODEL", 0, 9999)
 	for seed := first; seed <= last; seed++ {
 		m := &machine{
 			rng:     rand.New(rand.NewPCG(seed, seed)),
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"fuchsiapier/lab/backend"
+	"fuchsiapier/lab/seeds"
 	"fuchsiapier/lab/store"
 	"fuchsiapier/platform"
 )
@@ -38,9 +39,9 @@
 	lastingDisturbance = 4 * time.Second
 )
 
-// defaultSoakSeeds are the seeds that CI runs. FUCHSIAPIER_SOAK=FIRST-LAST runs others, with
+// lastSoakSeed is the last of the seeds, from 1 on, that CI runs. FUCHSIAPIER_SOAK=FIRST-LAST runs others, with
 // FUCHSIAPIER_SOAK_SIZE servers of each service in each failure domain.
-var defaultSoakSeeds = []uint64{1, 2, 3}
+const lastSoakSeed = 3
 
 // span is a time in which a node was stopped, starting or paused.
 type span struct {
@@ -103,7 +104,8 @@
 // connections to it that go silent, changes of the configuration, and a request that crashes the servers which run it, beside
 // callers that use their connections until they end.
 func TestSoak(t *testing.T) {
-	for _, seed := range soakSeeds(t) {
+	first, last := seeds.Range(t, "FUCHSIAPIER_SOAK", 1, lastSoakSeed)
+	for seed := first; seed <= last; seed++ {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			size, _ := strconv.Atoi(os.Getenv("FUCHSIAPIER_SOAK_SIZE"))
 			s := newSoak(t, seed, max(size, 1))
@@ -119,26 +121,6 @@
 	}
 }
 
-func soakSeeds(t *testing.T) []uint64 {
-	first, last, ok := strings.Cut(os.Getenv("FUCHSIAPIER_SOAK"), "-")
-	if !ok {
-		return defaultSoakSeeds
-	}
-	from, err := strconv.ParseUint(first, 10, 32)
-	if err != nil {
-		t.Fatal(err)
-	}
-	to, err := strconv.ParseUint(last, 10, 32)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var seeds []uint64
-	for s := from; s <= to; s++ {
-		seeds = append(seeds, s)
-	}
-	return seeds
-}
-
 func newSoak(t *testing.T, seed uint64, size int) *soak {
 	s := &soak{
 		cluster: newClusterOf(t, size),
