--- /dev/null
+++ b/review/kit2/server.go
@@ -0,0 +1,155 @@
+package kit2
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Server is an application server beside a node. A request's work time is the number after
+// "/w" in its path, in milliseconds. A request whose connection closes is dropped.
+type Server struct {
+	ID      string
+	service string
+	address string
+	control string
+	slots   int
+	beat    time.Duration
+	born    int64
+	record  *Record
+	http    *http.Server
+	free    chan struct{}
+	done    chan struct{}
+	mu      sync.Mutex
+	seq     int64
+	queued  int
+}
+
+// NewServer starts a server with a number of slots and a queue as long.
+func NewServer(id, service, address, control string, slots int, beat time.Duration, record *Record) (*Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		ID:      id,
+		service: service,
+		address: address,
+		control: control,
+		slots:   slots,
+		beat:    beat,
+		born:    time.Now().UnixMilli(),
+		record:  record,
+		free:    make(chan struct{}, slots),
+		done:    make(chan struct{}),
+	}
+	s.http = &http.Server{Handler: http.HandlerFunc(s.handle)}
+	go func() { _ = s.http.Serve(l) }()
+	go s.report()
+	return s, nil
+}
+
+// Stop ends the server.
+func (s *Server) Stop() {
+	close(s.done)
+	_ = s.http.Close()
+}
+
+// report sends a status report each beat, and sooner after a failure.
+func (s *Server) report() {
+	client := &http.Client{Timeout: time.Second}
+	for {
+		s.mu.Lock()
+		s.seq++
+		seq := s.seq
+		s.mu.Unlock()
+		body, _ := json.Marshal(map[string]any{
+			"service": s.service, "address": s.address, "zone": "z", "version": "v1", "slots": s.slots,
+			"state": "ready", "cold_left_ms": 0, "seq": seq, "born": s.born,
+		})
+		wait := s.beat
+		req, _ := http.NewRequest(http.MethodPut, "http://"+s.control+"/v1/instances/"+s.ID, bytes.NewReader(body))
+		req.Header.Set("Content-Type", "application/json")
+		if resp, err := client.Do(req); err != nil {
+			wait = 300 * time.Millisecond
+		} else {
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+		select {
+		case <-s.done:
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+// Work returns the work time that a path names.
+func Work(path string) time.Duration {
+	_, rest, _ := strings.Cut(path, "/w")
+	digits, _, _ := strings.Cut(rest, "/")
+	ms, _ := strconv.Atoi(digits)
+	return time.Duration(ms) * time.Millisecond
+}
+
+func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Fuchsiapier-Attempt-Id")
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	w.Header().Set("X-Fuchsiapier-Attempt-Id", id)
+	if meant := r.Header.Get("X-Fuchsiapier-Target-Instance"); meant != "" && meant != s.ID {
+		w.Header().Set("X-Fuchsiapier-Instance-Id", s.ID)
+		w.Header().Set("X-Fuchsiapier-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if !s.enter(r) {
+		w.Header().Set("X-Fuchsiapier-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-s.free }()
+	s.record.Ran(id, s.ID, r.Method+" "+r.URL.RequestURI(), r.Header.Get("X-Fuchsiapier-Tenant"))
+	select {
+	case <-time.After(Work(r.URL.Path)):
+	case <-r.Context().Done():
+		s.record.Ended(id, s.ID, "cut")
+		return
+	}
+	s.record.Ended(id, s.ID, "ok")
+	w.Header().Set("X-Fuchsiapier-Response-Signature", "sig-"+s.ID+"-"+id)
+	_, _ = fmt.Fprintf(w, "%s ran %s, %d bytes", s.ID, id, len(body))
+}
+
+// enter waits for a slot. It returns false if the queue is full or the connection closes.
+func (s *Server) enter(r *http.Request) bool {
+	s.mu.Lock()
+	full := s.queued >= s.slots
+	if !full {
+		s.queued++
+	}
+	s.mu.Unlock()
+	if full {
+		return false
+	}
+	defer func() {
+		s.mu.Lock()
+		s.queued--
+		s.mu.Unlock()
+	}()
+	select {
+	case s.free <- struct{}{}:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
