--- a/review/kit2/server.go
+++ b/review/kit2/server.go
@@ -30,6 +30,7 @@
 	mu      sync.Mutex
 	seq     int64
 	queued  int
+	silent  bool
 }
 
 // NewServer starts a server with a number of slots and a queue as long.
@@ -62,26 +63,15 @@
 	_ = s.http.Close()
 }
 
-// report sends a status report each beat, and sooner after a failure.
+// report sends a status report each beat, and sooner after a failure, until the server is silent.
 func (s *Server) report() {
-	client := &http.Client{Timeout: time.Second}
 	for {
+		wait := s.beat
 		s.mu.Lock()
-		s.seq++
-		seq := s.seq
+		silent := s.silent
 		s.mu.Unlock()
-		body, _ := json.Marshal(map[string]any{
-			"service": s.service, "address": s.address, "zone": "z", "version": "v1", "slots": s.slots,
-			"state": "ready", "cold_left_ms": 0, "seq": seq, "born": s.born,
-		})
-		wait := s.beat
-		req, _ := http.NewRequest(http.MethodPut, "http://"+s.control+"/v1/instances/"+s.ID, bytes.NewReader(body))
-		req.Header.Set("Content-Type", "application/json")
-		if resp, err := client.Do(req); err != nil {
+		if !silent && s.Send(s.Report()) == 0 {
 			wait = 300 * time.Millisecond
-		} else {
-			_, _ = io.Copy(io.Discard, resp.Body)
-			_ = resp.Body.Close()
 		}
 		select {
 		case <-s.done:
@@ -91,6 +81,48 @@
 	}
 }
 
+// Silence ends the status reports.
+func (s *Server) Silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = true
+}
+
+// Report returns the next status report, which says that the server is ready.
+func (s *Server) Report() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seq++
+	body, _ := json.Marshal(map[string]any{
+		"service": s.service, "address": s.address, "zone": "z", "version": "v1", "slots": s.slots,
+		"state": "ready", "cold_left_ms": 0, "seq": s.seq, "born": s.born,
+	})
+	return body
+}
+
+// Send delivers a status report and returns the status of the answer, 0 for none in a second.
+func (s *Server) Send(report []byte) int {
+	return s.call(http.MethodPut, report)
+}
+
+// Delete says that the server leaves, and returns the status of the answer, 0 for none in a second.
+func (s *Server) Delete() int {
+	return s.call(http.MethodDelete, nil)
+}
+
+func (s *Server) call(method string, body []byte) int {
+	req, _ := http.NewRequest(method, "http://"+s.control+"/v1/instances/"+s.ID, bytes.NewReader(body))
+	req.Header.Set("Content-Type", "application/json")
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
 // Work returns the work time that a path names.
 func Work(path string) time.Duration {
 	_, rest, _ := strings.Cut(path, "/w")
--- a/review/kit2/store.go
+++ b/review/kit2/store.go
@@ -22,6 +22,8 @@
 	mu      sync.Mutex
 	topics  map[string]*topic
 	news    chan struct{}
+	era     int
+	away    bool
 }
 
 type topic struct {
@@ -44,15 +46,66 @@
 		Address: address,
 		topics:  map[string]*topic{},
 		news:    make(chan struct{}),
+		era:     1,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/log-append", s.serveAppend)
 	mux.HandleFunc("GET /v1/log-read", s.serveRead)
 	mux.HandleFunc("GET /v1/log-newest", s.serveNewest)
-	go func() { _ = http.Serve(l, mux) }()
+	go func() { _ = http.Serve(l, s.present(mux)) }()
 	return s, nil
 }
 
+// present passes calls on while the store is not away, and closes their connections else.
+func (s *Store) present(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		away, era := s.away, s.era
+		s.mu.Unlock()
+		if away {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Store-Era", strconv.Itoa(era))
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Copy is the content of a store at some time.
+type Copy map[string][][]byte
+
+// Copy returns a copy of the content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Copy{}
+	for name, t := range s.topics {
+		c[name] = append([][]byte{}, t.records...)
+	}
+	return c
+}
+
+// Leave makes the store go away: it answers nothing, calls that wait included.
+func (s *Store) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+// Return makes the store come back with the content of a copy, in the next era. Producers start
+// anew, since the copy is of before their last appends.
+func (s *Store) Return(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics = map[string]*topic{}
+	for name, records := range c {
+		s.topics[name] = &topic{records: records, producers: map[string]*producer{}}
+	}
+	s.away = false
+	s.era++
+}
+
 func (s *Store) topic(name string) *topic {
 	t := s.topics[name]
 	if t == nil {
@@ -78,7 +131,6 @@
 
 func reply(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Store-Era", "1")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
 }
@@ -137,8 +189,11 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		records, news := s.topic(q.Get("topic")).records, s.news
+		records, news, away := s.topic(q.Get("topic")).records, s.news, s.away
 		s.mu.Unlock()
+		if away {
+			panic(http.ErrAbortHandler)
+		}
 		if from > int64(len(records)) {
 			reply(w, http.StatusGone, map[string]any{"first_offset": 0})
 			return
@@ -162,7 +217,6 @@
 				out = append(out, record...)
 			}
 		}
-		w.Header().Set("Store-Era", "1")
 		_, _ = w.Write(out)
 		return
 	}
