--- a/internal/node/depart/depart_test.go
+++ b/internal/node/depart/depart_test.go
@@ -189,17 +189,28 @@
 // TestConfirmation guards against a departure that is confirmed while only the memory of one failure
 // domain holds it, and against one that stays unconfirmed while others could hold it.
 func TestConfirmation(t *testing.T) {
-	within(t, "The store takes a departure alone if it does so soon", func() {
+	within(t, "The store and nodes of as many domains as needed take a departure, and no more are asked", func() {
 		f := newFleet()
 		var r *Recorder
 		r, stop := f.recorder(func(value []byte) { time.AfterFunc(90*time.Millisecond, func() { r.Stored(value) }) })
 		defer stop()
 		r.Record([]starts.Departure{departure("a")})
 		basis, took := await(r)
-		So(basis, ShouldEqual, ByStore)
+		So(basis, ShouldEqual, ByBoth)
 		So(took, ShouldEqual, 90*time.Millisecond)
-		time.Sleep(2 * time.Second)
-		So(f.calls, ShouldEqual, 0)
+		time.Sleep(20 * time.Second)
+		So(f.calls, ShouldEqual, maxHolderDomains*replicaCount)
+	})
+	within(t, "A node that no other can be reached from confirms what the store has taken", func() {
+		f := newFleet()
+		var r *Recorder
+		r, stop := f.recorder(func(value []byte) { time.AfterFunc(90*time.Millisecond, func() { r.Stored(value) }) })
+		defer stop()
+		f.setDown(true, "n1-0", "n1-1", "n1-2", "n1-3", "n2-0", "n2-1", "n2-2", "n2-3")
+		r.Record([]starts.Departure{departure("a")})
+		basis, took := await(r)
+		So(basis, ShouldEqual, ByStore)
+		So(took, ShouldEqual, bothTimeout)
 	})
 	within(t, "While the store takes nothing, nodes of two other domains must hold it", func() {
 		f := newFleet()
@@ -251,6 +262,51 @@
 	})
 }
 
+// TestDrillWhileNodeIsAway guards against a departure that is forgotten because the store alone held it:
+// the store comes back from an older copy, and the process that would write it again has ended.
+func TestDrillWhileNodeIsAway(t *testing.T) {
+	const writeTime = 60 * time.Millisecond
+	storing := func(f *fleet) (*Recorder, func()) {
+		var r *Recorder
+		r, stop := f.recorder(func(value []byte) { time.AfterFunc(writeTime, func() { r.Stored(value) }) })
+		return r, stop
+	}
+	within(t, "A departure that was confirmed is recalled though the store has lost it", func() {
+		f := newFleet()
+		r, stop := storing(f)
+		r.Record([]starts.Departure{departure("a")})
+		basis, _ := await(r)
+		So(basis, ShouldEqual, ByBoth)
+		stop()
+		spy, _ := f.recall(true, time.Second)
+		So(spy.restored, ShouldResemble, []starts.Departure{departure("a")})
+	})
+	within(t, "It is after a restart of all other nodes, one after the other", func() {
+		f := newFleet()
+		r, stop := storing(f)
+		r.Record([]starts.Departure{departure("a")})
+		for _, n := range f.nodes[1:] {
+			f.setDown(true, n.Name)
+			time.Sleep(2 * time.Second)
+			f.setDown(false, n.Name)
+			f.restart(n.Name)
+			time.Sleep(2 * time.Second)
+		}
+		stop()
+		spy, _ := f.recall(true, time.Second)
+		So(spy.restored, ShouldResemble, []starts.Departure{departure("a")})
+	})
+	within(t, "It is if the departure was recorded by an earlier process and read from the store since", func() {
+		f := newFleet()
+		r, stop := storing(f)
+		r.Restore([]starts.Departure{departure("a")})
+		time.Sleep(2 * time.Second)
+		stop()
+		spy, _ := f.recall(true, time.Second)
+		So(spy.restored, ShouldResemble, []starts.Departure{departure("a")})
+	})
+}
+
 // TestRestoredDepartures guards against stored departures that are lost since a node that starts
 // records one before it has read them.
 func TestRestoredDepartures(t *testing.T) {
--- a/internal/node/depart/recorder.go
+++ b/internal/node/depart/recorder.go
@@ -13,15 +13,9 @@
 	"fuchsiapier/internal/node/starts"
 )
 
-const (
-	// storeHeadStart is how long the store alone has to take a departure, so that nodes are asked only
-	// where it does not: traffic between domains is priced by the byte.
-	storeHeadStart = 250 * time.Millisecond
-	// holdTimeout bounds a call to a node: some round trips between regions.
-	holdTimeout = 300 * time.Millisecond
-	// holdPeriod is the time between two attempts to have nodes hold what the store has not taken.
-	holdPeriod = 100 * time.Millisecond
-)
+// bothTimeout is how long after a departure was recorded its confirmation waits for both the store and
+// other nodes. Either is enough afterwards: a target takes a confirmation that arrives within a second.
+const bothTimeout = 500 * time.Millisecond
 
 // Basis is what the confirmation of a departure rests on. Its values are metric labels and stand in
 // log lines.
@@ -29,9 +23,12 @@
 
 // What a confirmation rests on.
 const (
-	// ByStore means that the store has taken the departure.
+	// ByBoth means that the store has taken the departure and nodes of other failure domains hold it.
+	// It is then known after a restore of the store from an older copy, and after an end of all nodes.
+	ByBoth Basis = "both"
+	// ByStore means that the store alone has taken it.
 	ByStore Basis = "store"
-	// ByNodes means that nodes of other failure domains hold it.
+	// ByNodes means that nodes of other failure domains alone hold it.
 	ByNodes Basis = "nodes"
 	// Unconfirmed means that neither was the case in time.
 	Unconfirmed Basis = "none"
@@ -50,25 +47,20 @@
 
 	mu         sync.Mutex
 	departures []starts.Departure
-	// value is the encoded list of departures and revision its number. stored is the latest
-	// revision that the store has taken, held the latest that nodes hold.
-	value    []byte
-	revision int
-	stored   int
-	held     int
+	// value is the encoded list of departures, revision its number and recordedAt the time from which
+	// on it is due. stored is the latest revision that the store has taken, held the latest that nodes
+	// of enough failure domains have taken.
+	value      []byte
+	revision   int
+	recordedAt time.Time
+	stored     int
+	held       int
 	// holders are the nodes that hold departures, by failure domain.
 	holders map[string]holding
 	// progress is closed and replaced when stored or held increases.
 	progress chan struct{}
 }
 
-// holding is a node that holds a revision.
-type holding struct {
-	node        string
-	incarnation int64
-	revision    int
-}
-
 // RecorderOption configures a Recorder.
 type RecorderOption func(*Recorder)
 
@@ -99,12 +91,16 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
-		for {
+		check := time.NewTicker(holderCheckPeriod)
+		defer check.Stop()
+		for attempt := 0; ; attempt++ {
 			select {
 			case <-ctx.Done():
 				return
 			case <-r.recorded:
 				r.replicate(ctx)
+			case <-check.C:
+				r.hold(ctx, attempt, false)
 			}
 		}
 	}()
@@ -149,34 +145,46 @@
 	}
 }
 
-// Restore takes over departures that the store holds. What was recorded before they were read has
-// replaced them there, so that they are stored again.
+// Restore takes over departures that the store holds, and has other nodes hold them. What was recorded
+// before they were read has replaced them in the store, so that they are stored again.
 func (r *Recorder) Restore(departures []starts.Departure) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	isFirst := r.revision == 0
 	merged, changed := starts.MergeAll(r.departures, departures)
-	if changed && r.revision > 0 {
-		r.save(merged)
+	if !changed || !r.revise(merged) {
+		return
+	}
+	if isFirst {
+		r.stored = r.revision
 		return
 	}
-	r.departures = merged
+	r.store(r.value)
 }
 
-// save has a list of departures stored, and held by other nodes if the store does not take it; r.mu must
-// be held.
+// save has a list of departures stored and held by other nodes; r.mu must be held.
 func (r *Recorder) save(departures []starts.Departure) {
+	if r.revise(departures) {
+		r.store(r.value)
+	}
+}
+
+// revise makes a list of departures the present one and reports whether it can be encoded; r.mu must be
+// held.
+func (r *Recorder) revise(departures []starts.Departure) bool {
 	value, err := cbor.Marshal(departures)
 	if err != nil {
 		r.log.Error().Err(err).Msg("departures not encoded")
-		return
+		return false
 	}
 	r.departures, r.value = departures, value
 	r.revision++
-	r.store(value)
+	r.recordedAt = time.Now()
 	select {
 	case r.recorded <- struct{}{}:
 	default:
 	}
+	return true
 }
 
 // Stored records that the store has taken a value.
@@ -199,123 +207,34 @@
 // rest on.
 func (r *Recorder) Await(ctx context.Context) Basis {
 	r.mu.Lock()
-	due := r.revision
+	due, either := r.revision, time.After(time.Until(r.recordedAt.Add(bothTimeout)))
 	r.mu.Unlock()
 	for {
 		r.mu.Lock()
-		stored, held, progress := r.stored, r.held, r.progress
+		basis, progress := r.basis(due), r.progress
 		r.mu.Unlock()
-		switch {
-		case stored >= due:
-			return ByStore
-		case held >= due:
-			return ByNodes
+		if basis != Unconfirmed {
+			return basis
 		}
 		select {
 		case <-ctx.Done():
 			return Unconfirmed
+		case <-either:
 		case <-progress:
 		}
 	}
 }
 
-// replicate has nodes of the other failure domains hold what the store does not take, until it has
-// taken it. Holders that restart meanwhile are replaced.
-func (r *Recorder) replicate(ctx context.Context) {
-	if r.awaitStore(ctx, storeHeadStart) {
-		return
-	}
-	for attempt := 0; ctx.Err() == nil; attempt++ {
-		r.hold(ctx, attempt)
-		if r.awaitStore(ctx, holdPeriod) {
-			return
-		}
-	}
-}
-
-// awaitStore waits until the store has taken all departures, which it reports, at most for a time.
-func (r *Recorder) awaitStore(ctx context.Context, timeout time.Duration) bool {
-	expired := time.After(timeout)
-	for {
-		r.mu.Lock()
-		stored, progress := r.stored == r.revision, r.progress
-		r.mu.Unlock()
-		if stored {
-			return true
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-expired:
-			return false
-		case <-progress:
-		}
-	}
-}
-
-// hold asks a node of each other failure domain in which none holds the latest departures.
-func (r *Recorder) hold(ctx context.Context, attempt int) {
-	nodes := candidates(r.view())
-	r.mu.Lock()
-	revision := r.revision
-	record := Record{
-		Owner:      r.owner,
-		Departures: r.departures,
-	}
-	var asked []peers.Node
-	for domain, list := range nodes {
-		if !r.holds(domain, list, revision) {
-			asked = append(asked, list[attempt%len(list)])
-		}
-	}
-	r.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
-	defer cancel()
-	var wg sync.WaitGroup
-	for _, n := range asked {
-		wg.Go(func() {
-			err := r.links.Hold(ctx, n, record, ItsDomain)
-			if err != nil {
-				r.log.Warn().Err(err).Str("node", n.Name).Str("domain", n.Domain).Msg("departures not held")
-				return
-			}
-			r.holder(n, revision)
-		})
-	}
-	wg.Wait()
-}
-
-// holds reports whether one of the live nodes of a domain holds a revision; r.mu must be held.
-func (r *Recorder) holds(domain string, nodes []peers.Node, revision int) bool {
-	h, ok := r.holders[domain]
-	if !ok || h.revision < revision {
-		return false
-	}
-	for _, n := range nodes {
-		if n.Name == h.node {
-			return n.Incarnation == h.incarnation
-		}
-	}
-	return false
-}
-
-// holder records that a node holds a revision.
-func (r *Recorder) holder(n peers.Node, revision int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.holders[n.Domain] = holding{
-		node:        n.Name,
-		incarnation: n.Incarnation,
-		revision:    revision,
-	}
-	domains := 0
-	for _, h := range r.holders {
-		if h.revision >= revision {
-			domains++
-		}
-	}
-	if needed := holderDomains(r.domains()); needed > 0 && domains >= needed && r.held < revision {
-		r.held = revision
-		r.advance()
+// basis returns what the confirmation of a revision may rest on now; r.mu must be held.
+func (r *Recorder) basis(revision int) Basis {
+	either := time.Since(r.recordedAt) >= bothTimeout
+	switch stored, held := r.stored >= revision, r.held >= revision; {
+	case stored && held:
+		return ByBoth
+	case stored && (either || holderDomains(r.domains()) == 0):
+		return ByStore
+	case held && either:
+		return ByNodes
 	}
+	return Unconfirmed
 }
--- a/internal/node/model/departure_test.go
+++ b/internal/node/model/departure_test.go
@@ -359,9 +359,9 @@
 	time.AfterFunc(d, func() { f.store.setAll(serves) })
 }
 
-// simulateDepartures lets targets leave and start again among kills, troubles of the store and clock
-// steps, and returns what broke and what the departures took.
-func simulateDepartures(t *testing.T, seed uint64, size int) (broken string, costs *departureCosts) {
+// simulateDepartures lets targets leave and start again among kills, troubles of the store, or drills of
+// it, and clock steps, and returns what broke and what the departures took.
+func simulateDepartures(t *testing.T, seed uint64, size int, drills bool) (broken string, costs *departureCosts) {
 	synctest.Test(t, func(*testing.T) {
 		f := newFleet(seed, sizes[size][0], sizes[size][1])
 		costs = &f.departureCosts
@@ -377,14 +377,19 @@
 		}
 		for round := range 3 {
 			at := 8*time.Second + time.Duration(round)*11*time.Second
-			time.AfterFunc(at-time.Duration(f.random(500))*time.Millisecond, f.storeTrouble)
+			around := f.killAround
+			if drills {
+				around = f.drillAround(at)
+			} else {
+				time.AfterFunc(at-time.Duration(f.random(500))*time.Millisecond, f.storeTrouble)
+			}
 			for _, n := range f.some(1 + f.random(3)) {
 				l, drains := f.targets[n.name], f.random(2) == 0
 				time.AfterFunc(at+time.Duration(f.random(1000))*time.Millisecond, func() {
 					s := f.situationOf(n)
 					l.leave(drains, func() {
 						f.leavingConfirmed(s, l.confirmedAt.Sub(l.leavingSince))
-						f.killAround(n)
+						around(n)
 					})
 					time.Sleep(time.Duration(f.random(1500)) * time.Millisecond)
 					if f.elapsed() > departureRunTime {
@@ -439,6 +444,12 @@
 // one whose leaving is not confirmed, and one that works and is not used, where nodes and whole failure
 // domains are killed right after a confirmation, the store fails, clocks jump and reports are late.
 func TestDeparturesAmongDisturbances(t *testing.T) {
+	playDepartures(t, false)
+}
+
+// playDepartures simulates departures with each seed, and reports what broke.
+func playDepartures(t *testing.T, drills bool) {
+	t.Helper()
 	first, last := seedsToRun(t, 40)
 	nodes := size(t)
 	var mu sync.Mutex
@@ -448,7 +459,7 @@
 		for seed := first; seed <= last; seed++ {
 			t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 				t.Parallel()
-				broken, c := simulateDepartures(t, seed, nodes)
+				broken, c := simulateDepartures(t, seed, nodes, drills)
 				mu.Lock()
 				defer mu.Unlock()
 				costs.add(c)
--- a/test/departure_test.go
+++ b/test/departure_test.go
@@ -87,6 +87,24 @@
 	})
 }
 
+// TestServeDepartureOutlivesDrill guards against a server whose leaving was confirmed and that gets
+// requests again, because the store alone held it, which came back from an older copy while the node
+// of the server was away.
+func TestServeDepartureOutlivesDrill(t *testing.T) {
+	Convey("A departure that the store has taken and lost is still known after a restart of the node", t, func() {
+		c := newCluster(t)
+		v := c.vms[0]
+		before := c.store.Copy()
+		v.departs()
+		c.store.SetFault(store.Unavailable)
+		v.kill()
+		c.store.Restore(before)
+		v.startNode()
+		c.store.SetFault(store.NoFault)
+		So(v.servedWithout(c.vms[1:]...), ShouldBeTrue)
+	})
+}
+
 // isUsed reports whether the VM's server gets requests that other nodes send.
 func (v *vm) isUsed() bool {
 	v.cluster.t.Helper()
