--- a/internal/pipe/frame/client.go
+++ b/internal/pipe/frame/client.go
@@ -36,7 +36,7 @@
 
 // Do sends a request with extra header lines and reads its complete response.
 // Its errors match those of package httpc. ErrNotSent also covers a node that
-// sent a go away frame instead of a response: it has not read the request.
+// says by a go away frame that it has not read the request.
 func (c *Client) Do(ctx context.Context, r *msg.Request, extra []byte) (*Answer, error) {
 	return c.do(ctx, c.Exchange, r, extra)
 }
@@ -63,25 +63,36 @@
 	return resp, nil
 }
 
+// clientConn is what a client keeps of a connection.
+type clientConn struct {
+	*codec
+	// sent counts the requests that were sent on it.
+	sent uint64
+}
+
 // exchange sends a request on a connection and reads the response to it.
 func (c *Client) exchange(conn *httpc.Conn, fields Fields, body []byte) (*Answer, error) {
-	codec, ok := conn.State.(*codec)
+	cc, ok := conn.State.(*clientConn)
 	if !ok {
-		codec = newCodec(c.bodies, c.neverIndexed...)
-		conn.State = codec
+		cc = &clientConn{
+			codec: newCodec(c.bodies, c.neverIndexed...),
+		}
+		conn.State = cc
 	}
-	encoded, err := codec.append(fields, body)
+	encoded, err := cc.append(fields, body)
 	if err != nil {
 		return nil, errors.Join(httpc.ErrNotSent, err)
 	}
-	if _, err := conn.Write(encoded); err != nil {
-		return nil, errors.Join(httpc.ErrResponseLost, err)
-	}
-	header, body, err := codec.read(conn.Reader)
-	if errors.Is(err, ErrGoAway) {
+	cc.sent++
+	// A node that reads no further requests may have closed the connection: what it sent before says
+	// how many it has read.
+	_, writeErr := conn.Write(encoded)
+	header, body, err := cc.read(conn.Reader)
+	var away goAwayError
+	if errors.As(err, &away) && away.read < cc.sent {
 		return nil, errors.Join(httpc.ErrNotSent, err)
 	}
-	if err != nil {
+	if err := errors.Join(writeErr, err); err != nil {
 		return nil, errors.Join(httpc.ErrResponseLost, err)
 	}
 	conn.FreshUntil = time.Now().Add(clientIdleTimeout)
--- a/internal/pipe/frame/frame.go
+++ b/internal/pipe/frame/frame.go
@@ -7,7 +7,9 @@
 // A frame consists of its length (4 bytes, the number of bytes that follow), the
 // length of the header block (2 bytes), the header block and the body. Lengths are
 // big-endian. A frame of length 0 (go away) says that its sender reads no further
-// requests.
+// requests; the number of requests that it has read on the connection follows (8 bytes).
+// It comes after the responses to these, and the connection carries nothing after it.
+// Nodes of earlier versions send no number, and ignore it.
 package frame
 
 import (
@@ -29,6 +31,8 @@
 	// bytes.
 	frameLengthSize = 4
 	blockLengthSize = 2
+	// readCountSize is the size of the number in a go away frame, in bytes.
+	readCountSize = 8
 	// maxFrame bounds the length of a frame, in bytes.
 	maxFrame = 80 << 20
 	// maxHeaderBlock bounds a header block, in bytes; its length field has 16 bits.
@@ -50,13 +54,39 @@
 
 // Errors of a connection.
 var (
-	// ErrGoAway means that the peer sent a frame of length 0: it has not read the
-	// request.
-	ErrGoAway    = errors.New("peer reads no further requests")
 	errTooLarge  = errors.New("frame or header block exceeds its limit")
 	errMalformed = errors.New("malformed frame")
+	// errUncounted means that a peer reads no further requests, and does not say how many it has read.
+	errUncounted = errors.New("go away frame without the number of requests read")
 )
 
+// goAwayError means that the peer reads no further requests.
+type goAwayError struct {
+	// read is the number of requests that the peer has read on the connection.
+	read uint64
+}
+
+func (e goAwayError) Error() string {
+	return "peer reads no further requests than " + strconv.FormatUint(e.read, 10)
+}
+
+// appendGoAway appends a go away frame.
+func appendGoAway(out []byte, read uint64) []byte {
+	out = binary.BigEndian.AppendUint32(out, 0)
+	return binary.BigEndian.AppendUint64(out, read)
+}
+
+// readGoAway reads a go away frame behind its length and returns the error that it stands for.
+func readGoAway(r io.Reader) error {
+	var count [readCountSize]byte
+	if _, err := io.ReadFull(r, count[:]); err != nil {
+		return errors.Join(errUncounted, err)
+	}
+	return goAwayError{
+		read: binary.BigEndian.Uint64(count[:]),
+	}
+}
+
 // Fields are the header fields of a message in order, pseudo-header fields
 // included.
 type Fields []hpack.HeaderField
@@ -161,7 +191,7 @@
 	return append(out, body...), nil
 }
 
-// read decodes the next frame; it returns ErrGoAway for one of length 0.
+// read decodes the next frame; it returns a goAwayError for one of length 0.
 func (c *codec) read(r io.Reader) (Fields, []byte, error) {
 	var head [frameLengthSize]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
@@ -170,7 +200,7 @@
 	size := binary.BigEndian.Uint32(head[:])
 	switch {
 	case size == 0:
-		return nil, nil, ErrGoAway
+		return nil, nil, readGoAway(r)
 	case size < blockLengthSize:
 		return nil, nil, errMalformed
 	case size > maxFrame:
--- a/internal/pipe/frame/server.go
+++ b/internal/pipe/frame/server.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"runtime/debug"
 	"strconv"
@@ -25,6 +27,9 @@
 	readTimeout = 10 * time.Second
 	// writeTimeout bounds how long writing a response may take.
 	writeTimeout = 5 * time.Second
+	// lingerTimeout is how long a connection is read after a go away frame, unless the peer closes it:
+	// closing it with unread bytes would reset it before the peer has the frame.
+	lingerTimeout = 500 * time.Millisecond
 	// readBufferSize is a connection's read buffer, in bytes.
 	readBufferSize = 2 << 10
 )
@@ -44,7 +49,7 @@
 	conns        map[*serverConn]struct{}
 	// quiescing is set by Quiesce: no further request is read.
 	quiescing bool
-	// pending counts the requests being handled.
+	// pending counts the requests that were read and not answered yet.
 	pending int
 }
 
@@ -88,6 +93,9 @@
 	s.mu.Lock()
 	s.conns[sc] = struct{}{}
 	s.mu.Unlock()
+	sc.mu.Lock()
+	sc.updateReadDeadline()
+	sc.mu.Unlock()
 	sc.run()
 	s.mu.Lock()
 	delete(s.conns, sc)
@@ -95,7 +103,7 @@
 	_ = c.Close()
 }
 
-// Pending returns how many requests are being handled.
+// Pending returns how many requests were read and not answered yet.
 func (s *Server) Pending() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -127,9 +135,7 @@
 	s.mu.Unlock()
 	for _, c := range conns {
 		c.mu.Lock()
-		if !c.busy {
-			_ = c.SetReadDeadline(time.Now())
-		}
+		c.updateReadDeadline()
 		c.mu.Unlock()
 	}
 }
@@ -145,7 +151,7 @@
 
 // serverConn is a connection from another node. One goroutine reads and another
 // handles requests, so that the end of the connection is noticed while a request is
-// being handled.
+// being handled. Whether the connection is idle follows from the two counts alone.
 type serverConn struct {
 	net.Conn
 	server *Server
@@ -154,60 +160,118 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	mu     sync.Mutex
-	// busy is set while a request arrives or is being handled.
-	busy bool
+	// arriving is set while a request arrives. read counts the requests that have arrived,
+	// answered those whose responses were written.
+	arriving bool
+	read     uint64
+	answered uint64
+	// stopped is set once no further request is read since the server quiesces.
+	stopped bool
 }
 
-// run serves requests until the connection ends or the server quiesces.
+// run serves requests until the connection ends or the server quiesces. A go away frame follows
+// the last response then.
 func (c *serverConn) run() {
 	requests := make(chan *Request)
 	go func() {
 		defer close(requests)
-		defer c.cancel()
-		c.read(requests)
+		c.readRequests(requests)
 	}()
 	for r := range requests {
-		if !c.serveRequest(r) {
+		resp := c.callHandler(c.ctx, r)
+		if resp == nil || !c.write(resp) {
 			_ = c.Close()
 		}
-		c.setBusy(false)
+		c.countAnswered()
+	}
+	c.mu.Lock()
+	stopped, read := c.stopped, c.read
+	c.mu.Unlock()
+	if stopped {
+		c.goAway(read)
 	}
 }
 
-// read reads requests and passes them to run. Where it is interrupted by Quiesce it
-// sends a go away frame.
-func (c *serverConn) read(requests chan<- *Request) {
-	c.setBusy(false)
+// readRequests reads requests and passes them to run. It cancels those pending if the connection
+// ends, and leaves them alone if the server quiesces.
+func (c *serverConn) readRequests(requests chan<- *Request) {
 	for {
-		if _, err := c.reader.Peek(1); err != nil {
-			if c.server.isQuiescing() {
-				c.goAway()
-			}
+		_, err := c.reader.Peek(1)
+		if !c.beginRequest(err) {
 			return
 		}
-		c.setBusy(true)
-		fields, body, err := c.codec.read(c.reader)
+		r, err := c.readRequest()
 		if err != nil {
+			c.cancel()
 			return
 		}
-		r, err := decodeRequest(fields, body)
-		if err != nil {
-			c.server.log.Warn().Err(err).Str("from", c.RemoteAddr().String()).Msg("malformed request from node")
-			return
-		}
-		_ = c.SetReadDeadline(time.Time{})
+		c.countRead()
 		requests <- r
 	}
 }
 
-// setBusy sets busy, and the read deadline that follows from it.
-func (c *serverConn) setBusy(busy bool) {
+// beginRequest is called when the first byte of a request has arrived, or with the error instead of
+// it, and reports whether the request is read.
+func (c *serverConn) beginRequest(err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ne net.Error
+	interrupted := errors.As(err, &ne) && ne.Timeout()
+	switch {
+	case err != nil && !interrupted:
+		c.cancel()
+		return false
+	case c.server.isQuiescing():
+		c.stopped = true
+		return false
+	case err != nil:
+		c.cancel()
+		return false
+	}
+	c.arriving = true
+	_ = c.SetReadDeadline(time.Now().Add(readTimeout))
+	return true
+}
+
+// readRequest reads a request whose first byte has arrived.
+func (c *serverConn) readRequest() (*Request, error) {
+	fields, body, err := c.codec.read(c.reader)
+	if err != nil {
+		return nil, err
+	}
+	r, err := decodeRequest(fields, body)
+	if err != nil {
+		c.server.log.Warn().Err(err).Str("from", c.RemoteAddr().String()).Msg("malformed request from node")
+	}
+	return r, err
+}
+
+// countRead counts a request that has arrived.
+func (c *serverConn) countRead() {
+	c.server.addPending(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arriving = false
+	c.read++
+	c.updateReadDeadline()
+}
+
+// countAnswered counts a request whose response was written, or dropped.
+func (c *serverConn) countAnswered() {
+	c.server.addPending(-1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = busy
+	c.answered++
+	c.updateReadDeadline()
+}
+
+// updateReadDeadline sets the deadline for the first byte of the next request: none while one is
+// pending, since the end of the connection is then awaited. c.mu must be held.
+func (c *serverConn) updateReadDeadline() {
 	switch {
-	case busy:
-		_ = c.SetReadDeadline(time.Now().Add(readTimeout))
+	case c.arriving:
+	case c.read > c.answered:
+		_ = c.SetReadDeadline(time.Time{})
 	case c.server.isQuiescing():
 		_ = c.SetReadDeadline(time.Now())
 	default:
@@ -215,19 +279,18 @@
 	}
 }
 
-// goAway sends a frame of length 0, which says that nothing further is read.
-func (c *serverConn) goAway() {
+// goAway says that nothing further is read, and how many requests were, and waits until the peer
+// closes the connection.
+func (c *serverConn) goAway(read uint64) {
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, _ = c.Write(make([]byte, frameLengthSize))
-}
-
-// serveRequest handles a request, writes its response and reports whether the
-// connection stays open.
-func (c *serverConn) serveRequest(r *Request) bool {
-	c.server.addPending(1)
-	defer c.server.addPending(-1)
-	resp := c.callHandler(c.ctx, r)
-	return resp != nil && c.write(resp)
+	if _, err := c.Write(appendGoAway(nil, read)); err != nil {
+		return
+	}
+	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = t.CloseWrite()
+	}
+	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, c.Conn)
 }
 
 // callHandler calls the handler and recovers from a panic in it; the response is
