--- a/internal/pipe/httpd/conn.go
+++ b/internal/pipe/httpd/conn.go
@@ -63,8 +63,8 @@
 
 var errHeaderTooLarge = errors.New("request header exceeds the configured limit")
 
-// read reads and starts requests until the connection ends; then it cancels the
-// context of those pending.
+// read reads and starts requests until the connection ends or the server reads no more; then it
+// cancels the context of those pending once the caller has gone.
 func (c *conn) read() {
 	defer c.cancel()
 	for {
@@ -72,12 +72,15 @@
 		if _, err := c.r.Peek(1); err != nil {
 			return
 		}
-		c.setReading(true)
-		if c.isEnded() {
+		if !c.beginRequest() {
 			c.discard()
 			return
 		}
 		req, failure := c.readRequest()
+		if failure == nil && req != nil && c.server.isQuiescing() {
+			fasthttp.ReleaseRequest(req)
+			failure = msg.Plain(fasthttp.StatusServiceUnavailable, "not run: the node is stopping").WithRetryAfter(stoppingRetryAfter)
+		}
 		if failure != nil {
 			c.rejectRequest(failure)
 			return
@@ -95,6 +98,20 @@
 	}
 }
 
+// beginRequest is called when the first byte of a request has arrived, and reports whether the request
+// is read. None is behind one whose response closes the connection: the caller sends it again. While the
+// server drains, that is the last one that was pending, so that callers which always have several
+// pending come to an end.
+func (c *conn) beginRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended || c.pending > 0 && c.server.isDraining() {
+		return false
+	}
+	c.reading = true
+	return true
+}
+
 // updateReadDeadline sets the deadline for the first byte of the next request.
 func (c *conn) updateReadDeadline() {
 	c.mu.Lock()
@@ -120,22 +137,17 @@
 	}
 }
 
-func (c *conn) setReading(reading bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.reading = reading
-}
-
 func (c *conn) isEnded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.ended
 }
 
-// discard is the lingering close: it reads and drops what arrives after the last
-// response until the caller closes the connection.
+// discard reads and drops what arrives behind the last request that was read, until the caller
+// closes the connection, which is noticed while requests are pending, or until the lingering close
+// after the last response has timed out.
 func (c *conn) discard() {
-	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+	c.updateReadDeadline()
 	_, _ = io.Copy(io.Discard, c.r)
 }
 
@@ -341,8 +353,10 @@
 	}
 	c.mu.Lock()
 	c.pending++
-	c.ended = false
+	c.reading = false
 	c.mu.Unlock()
+	c.server.addPending(1)
 	c.writeResponse(failure, "", true)
+	c.server.addPending(-1)
 	c.discard()
 }
--- /dev/null
+++ b/internal/pipe/httpd/drain_test.go
@@ -0,0 +1,136 @@
+package httpd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"fuchsiapier/internal/pipe/msg"
+)
+
+// held is a handler whose requests wait until they are released, by their path.
+type held struct {
+	mu      sync.Mutex
+	waiting map[string]chan struct{}
+}
+
+func (h *held) handle(ctx context.Context, in *Inbound) *msg.Response {
+	release := make(chan struct{})
+	h.mu.Lock()
+	if h.waiting == nil {
+		h.waiting = map[string]chan struct{}{}
+	}
+	h.waiting[in.URI] = release
+	h.mu.Unlock()
+	select {
+	case <-release:
+	case <-ctx.Done():
+		return nil
+	}
+	return echo(ctx, in)
+}
+
+// isHeld reports whether a request with a path has come.
+func (h *held) isHeld(path string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.waiting[path] != nil
+}
+
+func (h *held) release(path string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	close(h.waiting[path])
+}
+
+// send sends a request without waiting for a response.
+func send(c net.Conn, path string) {
+	_, _ = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path)
+}
+
+// TestDrainWithRequestsAhead guards against a caller that always has several requests pending and whose
+// connection is therefore never closed: the server ends with requests that it has read.
+func TestDrainWithRequestsAhead(t *testing.T) {
+	for name, begin := range map[string]func(*Server){"drains": (*Server).Drain, "quiesces": (*Server).Quiesce} {
+		Convey("A server that "+name+" reads nothing behind pending requests, and closes after the last of them", t, func() {
+			h := &held{}
+			s, c, r := start(t, h.handle)
+			send(c, "/1")
+			send(c, "/2")
+			So(eventually(func() bool { return h.isHeld("/1") && h.isHeld("/2") }), ShouldBeTrue)
+			begin(s)
+			send(c, "/3")
+			time.Sleep(50 * time.Millisecond)
+			h.release("/1")
+			status, body, closes := read(r)
+			So(status, ShouldEqual, http.StatusOK)
+			So(body, ShouldEqual, "GET /1")
+			So(closes, ShouldBeFalse)
+			send(c, "/4")
+			time.Sleep(50 * time.Millisecond)
+			h.release("/2")
+			status, body, closes = read(r)
+			So(status, ShouldEqual, http.StatusOK)
+			So(body, ShouldEqual, "GET /2")
+			So(closes, ShouldBeTrue)
+			_, err := r.ReadByte()
+			So(err, ShouldEqual, io.EOF)
+			So(h.isHeld("/3") || h.isHeld("/4"), ShouldBeFalse)
+			So(eventually(func() bool { return s.Pending() == 0 }), ShouldBeTrue)
+		})
+	}
+	Convey("A caller that leaves while a draining server reads nothing more is noticed", t, func() {
+		gone := make(chan struct{})
+		s, c, _ := start(t, func(ctx context.Context, _ *Inbound) *msg.Response {
+			<-ctx.Done()
+			close(gone)
+			return nil
+		})
+		send(c, "/1")
+		So(eventually(func() bool { return s.Pending() == 1 }), ShouldBeTrue)
+		s.Drain()
+		send(c, "/2")
+		_ = c.Close()
+		So(closedInTime(gone), ShouldBeTrue)
+	})
+}
+
+// TestQuiesceWhileRequestArrives guards against a request that is passed on too late in a shutdown to be
+// answered, since it had begun to arrive before reading ended, and against one that is dropped without an
+// answer although it was read.
+func TestQuiesceWhileRequestArrives(t *testing.T) {
+	Convey("A request that has begun to arrive is refused, and not handled", t, func() {
+		h := &held{}
+		s, c, r := start(t, h.handle)
+		_, _ = io.WriteString(c, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab")
+		So(eventually(func() bool { return s.isReading() }), ShouldBeTrue)
+		s.Quiesce()
+		_, _ = io.WriteString(c, "cd")
+		status, _, closes := read(r)
+		So(status, ShouldEqual, http.StatusServiceUnavailable)
+		So(closes, ShouldBeTrue)
+		So(h.isHeld("/1"), ShouldBeFalse)
+	})
+}
+
+// isReading reports whether a request arrives on a connection.
+func (s *Server) isReading() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.mu.Lock()
+		reading := c.reading
+		c.mu.Unlock()
+		if reading {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/pipe/httpd/server.go
+++ b/internal/pipe/httpd/server.go
@@ -32,6 +32,9 @@
 	// connection is read until the caller closes it, since closing it with unread
 	// bytes would reset it before the caller has the response.
 	lingerTimeout = 500 * time.Millisecond
+	// stoppingRetryAfter is the retry delay in the responses to requests that arrive as the server stops
+	// reading: another node is to be asked.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// TCP keep-alive detects callers whose VM is gone.
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 1 * time.Second
@@ -143,8 +146,8 @@
 }
 
 // Drain makes each connection close with its next response, or with the last one
-// where several requests are pending. Idle connections stay open until then, since
-// closing one could lose a request that is on its way.
+// where several requests are pending; requests behind these are not read. Idle connections stay
+// open until then, since closing one could lose a request that is on its way.
 func (s *Server) Drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -153,7 +156,8 @@
 
 // Quiesce closes the listener and every connection on which no request is arriving
 // or pending. Bytes that arrive from now on are left unread, so that callers may send
-// the request elsewhere. Requests that were read before still get a response.
+// the request elsewhere. Requests that were read before still get a response; those that
+// are arriving are refused.
 func (s *Server) Quiesce() {
 	_ = s.listener.Close()
 	s.mu.Lock()
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -151,6 +151,7 @@
 		for i := range soakCallers {
 			callers.Go(func() { s.call(v, i, done) })
 		}
+		callers.Go(func() { s.callAhead(v, 0, done) })
 	}
 	s.silenceConnections()
 	s.faults.Go(s.depart)
@@ -424,17 +425,33 @@
 // exchange sends the request and reads the response. It reports whether the connection can be
 // used again.
 func (o *sending) exchange(conn net.Conn, reader *bufio.Reader) (keep bool) {
-	method, path := http.MethodGet, "/safe/"+o.id
+	return o.send(conn) && o.receive(reader)
+}
+
+// target returns the method and path of the request.
+func (o *sending) target() (method, path string) {
 	if o.once {
-		method, path = http.MethodPost, "/once/"+o.id
+		return http.MethodPost, "/once/" + o.id
 	}
-	body := "load " + o.id
+	return http.MethodGet, "/safe/" + o.id
+}
+
+// body returns the body of the request.
+func (o *sending) body() string {
+	return "load " + o.id
+}
+
+// send sends the request and reports whether that succeeded.
+func (o *sending) send(conn net.Conn) bool {
+	method, path := o.target()
 	_ = conn.SetDeadline(time.Now().Add(callerTimeout))
 	_, err := fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: front.example\r\n%s: %s\r\n%s: 4000\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n\r\n%s",
-		method, path, platform.HeaderNames.Attempt, o.id, platform.HeaderNames.Deadline, o.key, len(body), body)
-	if err != nil {
-		return false
-	}
+		method, path, platform.HeaderNames.Attempt, o.id, platform.HeaderNames.Deadline, o.key, len(o.body()), o.body())
+	return err == nil
+}
+
+// receive reads the response to the request. It reports whether the connection can be used again.
+func (o *sending) receive(reader *bufio.Reader) (keep bool) {
 	resp, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		return false
@@ -445,7 +462,8 @@
 		return false
 	}
 	o.status = resp.StatusCode
-	if o.status == http.StatusOK && (resp.Header.Get(platform.HeaderNames.Signature) != "proof-of-"+o.id || !strings.HasSuffix(string(text), "ran "+path+" "+body)) {
+	_, path := o.target()
+	if o.status == http.StatusOK && (resp.Header.Get(platform.HeaderNames.Signature) != "proof-of-"+o.id || !strings.HasSuffix(string(text), "ran "+path+" "+o.body())) {
 		o.wrong = fmt.Sprintf("%s %q", resp.Header, text)
 	}
 	return !resp.Close
