--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -50,24 +50,10 @@
 	tickPeriod = 100 * time.Millisecond
 	// trimPeriod is how often idle connections are looked for and closed.
 	trimPeriod = 2 * time.Second
-	// callerDrainTime is how long a leaving node still works as before after it reports
-	// that it is not ready. The callers on its VM check readiness once a second and stop
-	// using the node after two failed checks. The target stays in use meanwhile.
-	callerDrainTime = 2100 * time.Millisecond
-	// peerDrainTime is how long a leaving node waits for the other nodes to stop
-	// sending calls to it.
-	peerDrainTime = 300 * time.Millisecond
-	// maxReadTime is how long a leaving node reads requests at most. Callers that never pause
-	// would otherwise leave no time to finish what was read.
-	maxReadTime = 3 * time.Second
 	// bodiesDivisor and bodyDivisor give the parts of the memory limit that all bodies may
 	// use, and a single one, while they are read from targets and other nodes.
 	bodiesDivisor = 4
 	bodyDivisor   = 8
-	// closeReserve is the part of the grace period that is reserved for the clean-up.
-	closeReserve = 1 * time.Second
-	// pendingCheckPeriod is how often a leaving node checks for pending requests.
-	pendingCheckPeriod = 50 * time.Millisecond
 )
 
 // Adapter holds the names and formats of the users' platform and the client of its
@@ -541,39 +527,6 @@
 	a.links.Trim(a.lastTrim, live)
 }
 
-// Leave shuts the node down gracefully. It first reports that the node is not ready
-// and gives the callers on the VM callerDrainTime to stop using it, then tells the other
-// nodes to send no more calls, stops reading new requests once none is pending or maxReadTime
-// has passed, and finishes those that were read. It returns when none is pending, or when
-// only closeReserve of the grace period is left.
-func (a *Agent) Leave() {
-	start := time.Now()
-	leaveTime := a.live.Load().Grace - closeReserve
-	deadline := start.Add(leaveTime)
-	a.leaving.Store(true)
-	a.callers.Drain()
-	time.Sleep(callerDrainTime)
-	a.gate.Leave()
-	a.peers.Update(timer.Now(), true, func(n *peers.Node) { n.Leaving = true })
-	time.Sleep(peerDrainTime)
-	idle := func() bool { return a.callers.Pending()+a.calls.Pending() == 0 }
-	waitFor(start.Add(min(maxReadTime, leaveTime)), idle)
-	a.callers.Quiesce()
-	waitFor(deadline, idle)
-	a.calls.Quiesce()
-	waitFor(deadline, idle)
-	if pending := a.callers.Pending() + a.calls.Pending(); pending > 0 {
-		a.log.Warn().Int("pending", pending).Msg("grace period expired with requests pending")
-	}
-}
-
-// waitFor polls a condition until it holds or the deadline has passed.
-func waitFor(deadline time.Time, condition func() bool) {
-	for time.Now().Before(deadline) && !condition() {
-		time.Sleep(pendingCheckPeriod)
-	}
-}
-
 // fleet implements watch.Fleet.
 type fleet struct {
 	agent *Agent
--- a/internal/node/call/call.go
+++ b/internal/node/call/call.go
@@ -4,6 +4,7 @@
 package call
 
 import (
+	"context"
 	"errors"
 	"math"
 	"strconv"
@@ -60,6 +61,17 @@
 	Idempotent bool
 	// Evidence is what the sending node knows of crashes during which the request ran.
 	Evidence []crash.Crash
+	// Withdrawn ends when the call is to be refused unless it was sent to the target, since the node
+	// that took the request stops. It is nil if it never does.
+	Withdrawn context.Context
+}
+
+// WithdrawnDone returns a channel that is closed when the call is withdrawn, nil if it never is.
+func (c *Call) WithdrawnDone() <-chan struct{} {
+	if c.Withdrawn == nil {
+		return nil
+	}
+	return c.Withdrawn.Done()
 }
 
 // Fingerprint returns the hash of the request's workspace, method, host, URI and body, which
@@ -104,7 +116,7 @@
 	Expired Reason = "expired"
 	// NoTarget means that no ready target of the service is known.
 	NoTarget Reason = "no-target"
-	// Leaving means that the node is shutting down.
+	// Leaving means that the node beside the target, or the one that took the request, is shutting down.
 	Leaving Reason = "leaving"
 	// TargetDown means that the target could not be connected to, now or a moment ago.
 	TargetDown Reason = "target-down"
@@ -207,7 +219,7 @@
 const fieldParts = 6
 
 // DecodeField parses a value of FieldCall that arrived at now. Attempt, Request,
-// Extra, Workspace and Evidence are not part of the field and stay empty. The error says that the
+// Extra, Workspace, Evidence and Withdrawn are not part of the field and stay empty. The error says that the
 // value is malformed.
 func DecodeField(value string, now time.Time) (*Call, error) {
 	parts := strings.Split(value, ",")
--- a/internal/node/entry/dispatch.go
+++ b/internal/node/entry/dispatch.go
@@ -92,7 +92,7 @@
 }
 
 // run makes attempts until one has a final response, no other may be made, the
-// deadline passes or the caller disconnects.
+// deadline passes, the caller disconnects or the node stops.
 func (d *dispatcher) run(ctx context.Context) (*msg.Response, call.Reason) {
 	q := d.request
 	if !d.launch(ctx) {
@@ -124,6 +124,9 @@
 		case <-deadline.C:
 			d.lastReason = call.Timeout
 			return d.giveUp()
+		case <-d.entry.closing.Done():
+			d.lastReason = call.Leaving
+			return d.giveUp()
 		case <-ctx.Done():
 			return nil, call.CallerGone
 		}
@@ -223,6 +226,10 @@
 // and queues there. launch reports false where no node is left.
 func (d *dispatcher) launch(ctx context.Context) bool {
 	e, q := d.entry, d.request
+	if e.refusing.Err() != nil {
+		d.final, d.lastReason = true, call.Leaving
+		return false
+	}
 	standing, left := d.standing()
 	if standing == crash.Quarantined {
 		d.final, d.lastReason, d.retryAfter = true, call.CrashesTargets, left
@@ -248,6 +255,7 @@
 	c := *q.call
 	c.MaxWait = d.maxWait()
 	c.TargetRateLimit = e.picker.rateLimit(&node)
+	c.Withdrawn = e.refusing
 	if standing != crash.Clear {
 		c.Evidence = e.crashes.Evidence(d.request.fingerprint)
 	}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -134,6 +134,12 @@
 	// meanSizes holds the exponentially weighted moving average of the bytes of a
 	// request and its response, by route.
 	meanSizes map[string]float64
+	// refusing ends, by refuse, when requests that no target was offered are refused, and closing, by
+	// closeAll, when all requests get their final answer.
+	refusing context.Context
+	refuse   context.CancelFunc
+	closing  context.Context
+	closeAll context.CancelFunc
 }
 
 // Config holds the dependencies of an Entry.
@@ -161,6 +167,8 @@
 
 // New returns an Entry that uses the given dependencies, which must all be set.
 func New(c Config) *Entry {
+	refusing, refuse := context.WithCancel(context.Background())
+	closing, closeAll := context.WithCancel(context.Background())
 	return &Entry{
 		names: c.Names,
 		filter: msg.NewFilter(c.Names.Deadline, c.Names.Caller, c.Names.Workspace, c.Names.ExpectTarget,
@@ -180,9 +188,25 @@
 		picker:       newPicker(c.Self.Name, c.Self.Domain, c.Self.Region),
 		splitCredits: map[string]map[string]float64{},
 		meanSizes:    map[string]float64{},
+		refusing:     refusing,
+		refuse:       refuse,
+		closing:      closing,
+		closeAll:     closeAll,
 	}
 }
 
+// RefuseUnsent makes the entry refuse the requests that no target was offered, wherever they wait, and
+// all that come from now on, since the node is about to stop. What runs continues.
+func (e *Entry) RefuseUnsent() {
+	e.refuse()
+}
+
+// Close makes the entry give all requests their final answer.
+func (e *Entry) Close() {
+	e.refuse()
+	e.closeAll()
+}
+
 // request is the state of one request while it is handled.
 type request struct {
 	in *httpd.Inbound
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -224,10 +224,15 @@
 }
 
 // Leave makes the gate refuse all requests that have not been sent to the target
-// yet, since the node is about to stop. Requests in flight continue.
+// yet, the queued ones at once, since the node is about to stop. Requests in flight continue.
 func (g *Gate) Leave() {
 	g.mu.Lock()
 	g.leaving = true
+	for t := range g.waiting {
+		if g.limiter.Cancel(t) {
+			g.evict(t)
+		}
+	}
 	state := g.stateLocked()
 	g.mu.Unlock()
 	g.onChange(state)
--- a/internal/node/gate/serve.go
+++ b/internal/node/gate/serve.go
@@ -139,6 +139,9 @@
 // admit waits until the call may start and returns true, or returns the refusal
 // and false.
 func (g *Gate) admit(ctx context.Context, c *call.Call, t *limit.Ticket) (refusal call.Result, admitted bool) {
+	if c.Withdrawn != nil && c.Withdrawn.Err() != nil {
+		return notRun(call.Leaving, downBackoff), false
+	}
 	g.mu.Lock()
 	if reason := g.closedReason(c.Service); reason != "" {
 		g.mu.Unlock()
@@ -182,8 +185,18 @@
 	}
 }
 
+// dropped returns the refusal of a call that was dropped from the queue.
+func (g *Gate) dropped() call.Result {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leaving {
+		return notRun(call.Leaving, downBackoff)
+	}
+	return notRun(call.Busy, g.limiter.RetryAfter(timer.Now()))
+}
+
 // await waits for a queued call to start. It returns false where the call was
-// evicted from the queue, was canceled by its caller or waited for too long.
+// evicted from the queue, was canceled by its caller, was withdrawn or waited for too long.
 func (g *Gate) await(ctx context.Context, c *call.Call, t *limit.Ticket, ready chan bool) (call.Result, bool) {
 	timeout := time.NewTimer(min(time.Until(c.Deadline)-minTimeLeft, 2*c.MaxWait+queueSlack))
 	defer timeout.Stop()
@@ -193,9 +206,11 @@
 		if started {
 			return call.Result{}, true
 		}
-		return notRun(call.Busy, g.retryAfter()), false
+		return g.dropped(), false
 	case <-ctx.Done():
 		reason = call.CallerGone
+	case <-c.WithdrawnDone():
+		reason = call.Leaving
 	case <-timeout.C:
 		reason = call.Expired
 	}
@@ -238,7 +253,7 @@
 }
 
 // canceled returns the result of a call that was removed from the queue because
-// its caller disconnected or it waited for too long.
+// its caller disconnected, it was withdrawn or it waited for too long.
 func canceled(reason call.Reason, retryAfter time.Duration) call.Result {
 	r := notRun(reason, retryAfter)
 	if reason == call.CallerGone {
--- a/internal/node/remote/remote.go
+++ b/internal/node/remote/remote.go
@@ -130,7 +130,7 @@
 	if known := call.EncodeEvidence(c.Evidence); known != "" {
 		extra = msg.AppendField(extra, call.FieldCrash, known)
 	}
-	answer, err := l.client(&to).Do(ctx, c.Request, extra)
+	answer, err := l.client(&to).DoWithdrawable(ctx, c.Withdrawn, c.Request, extra)
 	switch {
 	case err == nil:
 		return l.decode(answer, c)
@@ -263,6 +263,7 @@
 	c.Attempt = in.Header.Get(r.names.Attempt)
 	c.Workspace = in.Header.Get(r.names.Workspace)
 	c.Request = &in.Request
+	c.Withdrawn = in.Withdrawn
 	if known := in.Header.Get(call.FieldCrash); known != "" {
 		c.Evidence = call.DecodeEvidence(known, c.Fingerprint())
 	}
--- a/internal/node/remote/remote_test.go
+++ b/internal/node/remote/remote_test.go
@@ -129,6 +129,61 @@
 
 func (g *fixedGate) Serve(context.Context, *call.Call) call.Result { return g.result }
 
+// waitingGate holds calls until they are withdrawn.
+type waitingGate struct {
+	calls chan struct{}
+}
+
+func (g *waitingGate) Serve(ctx context.Context, c *call.Call) call.Result {
+	g.calls <- struct{}{}
+	select {
+	case <-c.WithdrawnDone():
+		return call.Result{
+			Outcome: call.NotRun,
+			Reason:  call.Leaving,
+		}
+	case <-ctx.Done():
+		return call.Result{
+			Outcome: call.Gone,
+			Reason:  call.CallerGone,
+		}
+	}
+}
+
+// TestWithdrawnCallAtAnotherNode guards against a call that waits at another node and whose outcome is not
+// known when the node that sent it stops.
+func TestWithdrawnCallAtAnotherNode(t *testing.T) {
+	Convey("The gate of another node refuses a call that is withdrawn, and the refusal arrives", t, func() {
+		gate := &waitingGate{
+			calls: make(chan struct{}, 1),
+		}
+		bodies := httpc.NewBodies(1<<20, 1<<20)
+		links, to := serve(t, NewReceiver(gate, names, func() []byte { return nil }), bodies)
+		withdrawn, withdraw := context.WithCancel(context.Background())
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		go func() {
+			<-gate.calls
+			withdraw()
+		}()
+		r := links.Send(ctx, to, &call.Call{
+			Attempt:   "a1",
+			Service:   "quota",
+			Deadline:  time.Now().Add(10 * time.Second),
+			Due:       time.Now().Add(time.Second),
+			Withdrawn: withdrawn,
+			Request: &msg.Request{
+				Method: "POST",
+				URI:    "/x",
+				Host:   "h",
+			},
+		})
+		So(r.Outcome, ShouldEqual, call.NotRun)
+		So(r.Reason, ShouldEqual, call.Leaving)
+		So(r.Reached, ShouldBeFalse)
+	})
+}
+
 // TestTargetsTellCallingNodes guards against what a target says of itself that does not reach the
 // node that sent the call: its rate limit, and that it leaves.
 func TestTargetsTellCallingNodes(t *testing.T) {
--- a/internal/pipe/frame/client.go
+++ b/internal/pipe/frame/client.go
@@ -38,24 +38,29 @@
 // Its errors match those of package httpc. ErrNotSent also covers a node that
 // says by a go away frame that it has not read the request.
 func (c *Client) Do(ctx context.Context, r *msg.Request, extra []byte) (*Answer, error) {
-	return c.do(ctx, c.Exchange, r, extra)
+	return c.do(ctx, c.Exchange, r, extra, nil)
+}
+
+// DoWithdrawable is like Do. When withdrawn ends before the response, the node is told to refuse the
+// request unless it has passed it on; its response is awaited all the same.
+func (c *Client) DoWithdrawable(ctx, withdrawn context.Context, r *msg.Request, extra []byte) (*Answer, error) {
+	return c.do(ctx, c.Exchange, r, extra, withdrawn)
 }
 
 // DoOnNewConn is like Do, but opens a new connection.
 func (c *Client) DoOnNewConn(ctx context.Context, r *msg.Request, extra []byte) (*Answer, error) {
-	return c.do(ctx, c.ExchangeOnNewConn, r, extra)
+	return c.do(ctx, c.ExchangeOnNewConn, r, extra, nil)
 }
 
 // exchanger calls a function with a connection, as Pool.Exchange does.
 type exchanger func(ctx context.Context, f func(c *httpc.Conn) (keep bool, err error)) error
 
-func (c *Client) do(ctx context.Context, exchange exchanger, r *msg.Request, extra []byte) (*Answer, error) {
+func (c *Client) do(ctx context.Context, exchange exchanger, r *msg.Request, extra []byte, withdrawn context.Context) (*Answer, error) {
 	fields := requestFields(r, extra)
 	var resp *Answer
-	err := exchange(ctx, func(conn *httpc.Conn) (bool, error) {
-		var err error
-		resp, err = c.exchange(conn, fields, r.Body)
-		return err == nil, err
+	err := exchange(ctx, func(conn *httpc.Conn) (keep bool, err error) {
+		resp, keep, err = c.exchange(conn, fields, r.Body, withdrawn)
+		return keep, err
 	})
 	if err != nil {
 		return nil, err
@@ -70,8 +75,10 @@
 	sent uint64
 }
 
-// exchange sends a request on a connection and reads the response to it.
-func (c *Client) exchange(conn *httpc.Conn, fields Fields, body []byte) (*Answer, error) {
+// exchange sends a request on a connection and reads the response to it. keep says that the
+// connection may be used again; after a withdrawal it may not, since that could arrive behind the
+// response.
+func (c *Client) exchange(conn *httpc.Conn, fields Fields, body []byte, withdrawn context.Context) (resp *Answer, keep bool, err error) {
 	cc, ok := conn.State.(*clientConn)
 	if !ok {
 		cc = &clientConn{
@@ -81,24 +88,29 @@
 	}
 	encoded, err := cc.append(fields, body)
 	if err != nil {
-		return nil, errors.Join(httpc.ErrNotSent, err)
+		return nil, false, errors.Join(httpc.ErrNotSent, err)
 	}
 	cc.sent++
 	// A node that reads no further requests may have closed the connection: what it sent before says
 	// how many it has read.
 	_, writeErr := conn.Write(encoded)
+	keep = true
+	if withdrawn != nil {
+		stop := context.AfterFunc(withdrawn, func() { _, _ = conn.Write(withdrawal) })
+		defer func() { keep = stop() && keep }()
+	}
 	header, body, err := cc.read(conn.Reader)
 	var away goAwayError
 	if errors.As(err, &away) && away.read < cc.sent {
-		return nil, errors.Join(httpc.ErrNotSent, err)
+		return nil, false, errors.Join(httpc.ErrNotSent, err)
 	}
 	if err := errors.Join(writeErr, err); err != nil {
-		return nil, errors.Join(httpc.ErrResponseLost, err)
+		return nil, false, errors.Join(httpc.ErrResponseLost, err)
 	}
 	conn.FreshUntil = time.Now().Add(clientIdleTimeout)
-	resp, err := decodeResponse(header, body)
+	resp, err = decodeResponse(header, body)
 	if err != nil {
-		return nil, errors.Join(httpc.ErrResponseLost, err)
+		return nil, false, errors.Join(httpc.ErrResponseLost, err)
 	}
-	return resp, nil
+	return resp, keep, nil
 }
--- a/internal/pipe/frame/frame.go
+++ b/internal/pipe/frame/frame.go
@@ -10,10 +10,15 @@
 // requests; the number of requests that it has read on the connection follows (8 bytes).
 // It comes after the responses to these, and the connection carries nothing after it.
 // Nodes of earlier versions send no number, and ignore it.
+//
+// A frame of length 1 (withdrawal) follows a request before its response: the request is to be
+// refused unless it has been passed on. It holds one byte, which has no meaning. Nodes of
+// earlier versions take it for malformed and close the connection.
 package frame
 
 import (
 	"bytes"
+	"context"
 	"encoding/binary"
 	"errors"
 	"io"
@@ -31,6 +36,8 @@
 	// bytes.
 	frameLengthSize = 4
 	blockLengthSize = 2
+	// withdrawalSize is the length of a withdrawal.
+	withdrawalSize = 1
 	// readCountSize is the size of the number in a go away frame, in bytes.
 	readCountSize = 8
 	// maxFrame bounds the length of a frame, in bytes.
@@ -60,6 +67,12 @@
 	errUncounted = errors.New("go away frame without the number of requests read")
 )
 
+// errWithdrawal means that a peer withdraws the request that it sent last.
+var errWithdrawal = errors.New("request withdrawn")
+
+// withdrawal is the frame that withdraws a request.
+var withdrawal = []byte{0, 0, 0, withdrawalSize, 0}
+
 // goAwayError means that the peer reads no further requests.
 type goAwayError struct {
 	// read is the number of requests that the peer has read on the connection.
@@ -191,7 +204,8 @@
 	return append(out, body...), nil
 }
 
-// read decodes the next frame; it returns a goAwayError for one of length 0.
+// read decodes the next frame; it returns a goAwayError for one of length 0, and errWithdrawal for a
+// withdrawal.
 func (c *codec) read(r io.Reader) (Fields, []byte, error) {
 	var head [frameLengthSize]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
@@ -201,6 +215,11 @@
 	switch {
 	case size == 0:
 		return nil, nil, readGoAway(r)
+	case size == withdrawalSize:
+		if _, err := io.ReadFull(r, head[:withdrawalSize]); err != nil {
+			return nil, nil, err
+		}
+		return nil, nil, errWithdrawal
 	case size < blockLengthSize:
 		return nil, nil, errMalformed
 	case size > maxFrame:
@@ -228,6 +247,9 @@
 	// Header holds all fields: those to forward, and those that the nodes add for
 	// each other.
 	Header Fields
+	// Withdrawn ends if the sending node withdraws the request: it is to be refused unless it
+	// has been passed on.
+	Withdrawn context.Context
 }
 
 // Answer is a response from another node.
--- a/internal/pipe/frame/server.go
+++ b/internal/pipe/frame/server.go
@@ -165,6 +165,8 @@
 	arriving bool
 	read     uint64
 	answered uint64
+	// withdraw withdraws the request that has arrived last; nil before the first.
+	withdraw context.CancelFunc
 	// stopped is set once no further request is read since the server quiesces.
 	stopped bool
 }
@@ -201,12 +203,16 @@
 			return
 		}
 		r, err := c.readRequest()
-		if err != nil {
+		switch {
+		case errors.Is(err, errWithdrawal):
+			c.withdrawLast()
+		case err != nil:
 			c.cancel()
 			return
+		default:
+			c.countRead(r)
+			requests <- r
 		}
-		c.countRead()
-		requests <- r
 	}
 }
 
@@ -247,15 +253,27 @@
 }
 
 // countRead counts a request that has arrived.
-func (c *serverConn) countRead() {
+func (c *serverConn) countRead(r *Request) {
 	c.server.addPending(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	r.Withdrawn, c.withdraw = context.WithCancel(context.Background())
 	c.arriving = false
 	c.read++
 	c.updateReadDeadline()
 }
 
+// withdrawLast withdraws the request that has arrived last.
+func (c *serverConn) withdrawLast() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.withdraw != nil {
+		c.withdraw()
+	}
+	c.arriving = false
+	c.updateReadDeadline()
+}
+
 // countAnswered counts a request whose response was written, or dropped.
 func (c *serverConn) countAnswered() {
 	c.server.addPending(-1)
