--- a/internal/conf/plog/client.go
+++ b/internal/conf/plog/client.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"fuchsiapier/internal/conf/state"
+	"fuchsiapier/internal/pipe/head"
 )
 
 // Page is the response to a read: consecutive records in the order of their offsets.
@@ -39,6 +40,8 @@
 	// readMargin is added to the time that the service waits for a new record.
 	readMargin       = 2 * time.Second
 	maxResponseBytes = 64 << 20
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 4 << 10
 )
 
 // Client is a client of one log service. It is safe for concurrent use.
@@ -61,7 +64,11 @@
 					Timeout:   dialTimeout,
 					LocalAddr: &net.TCPAddr{IP: localIP},
 				}
-				return d.Dial("tcp", addr)
+				c, err := d.Dial("tcp", addr)
+				if err != nil {
+					return nil, err
+				}
+				return head.NewConn(c, maxHeadBytes), nil
 			},
 		},
 	}
--- a/internal/edge/pool/pool.go
+++ b/internal/edge/pool/pool.go
@@ -138,6 +138,9 @@
 	return false, errors.Join(ErrIncomplete, errForeign)
 }
 
+// errInterim is returned for an interim response, which no request asks for.
+var errInterim = errors.New("interim response")
+
 // errForeign is returned where all responses belong to other requests.
 var errForeign = errors.New("responses belong to other requests")
 
@@ -145,10 +148,12 @@
 // other can't be distinguished from a truncated one.
 func (p *Pool) readResponse(r *bufio.Reader, resp *fasthttp.Response) error {
 	resp.Reset()
-	if err := resp.Header.Read(r); err != nil {
+	if err := httpc.ReadHead(r, &resp.Header); err != nil {
 		return err
 	}
 	switch resp.StatusCode() {
+	case fasthttp.StatusContinue, fasthttp.StatusProcessing, fasthttp.StatusEarlyHints:
+		return errInterim
 	case fasthttp.StatusNoContent, fasthttp.StatusNotModified:
 		return nil
 	}
@@ -161,9 +166,6 @@
 		return err
 	}
 	resp.SetBodyRaw(body)
-	if length == httpc.Chunked {
-		return resp.Header.ReadTrailer(r)
-	}
 	return nil
 }
 
--- a/internal/edge/pool/pool_test.go
+++ b/internal/edge/pool/pool_test.go
@@ -159,3 +159,38 @@
 		})
 	})
 }
+
+// TestMalformedResponses guards against bytes of a target in trouble that are no answer in the protocol and
+// are taken for one.
+func TestMalformedResponses(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 000 OK\r\nX-Id: %s\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nX-Id: %s\r\nX Spoiled: a\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length : 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nX-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Sum: 1\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\nX-Id: %s\r\n\r\n",
+	} {
+		Convey("No answer: "+answer, t, func() {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			defer func() { _ = l.Close() }()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				var req fasthttp.Request
+				if req.Read(bufio.NewReader(c)) == nil {
+					_, _ = fmt.Fprintf(c, answer, req.Header.Peek(echoHeader))
+				}
+			}()
+			p, stop := New(l.Addr().String(), 1, echoHeader)
+			defer stop()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			_, err = get(ctx, p, "/x")
+			So(errors.Is(err, ErrIncomplete), ShouldBeTrue)
+			So(len(p.idle), ShouldEqual, 0)
+		})
+	}
+}
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -166,7 +166,7 @@
 	bodies := httpc.NewBodies(int(a.deploy.MemoryBytes/bodiesDivisor), int(a.deploy.MemoryBytes/bodyDivisor))
 	a.gate, stop = gate.New(a.adapter.Names, gate.WithBodies(bodies), gate.WithOnChange(a.targetChanged), gate.WithCrashTracker(a.crashes), gate.WithLog(a.requestLog),
 		gate.WithTargetLog(a.log.Sample(a.stats.Sampler())),
-		gate.WithBlocked(), gate.WithOnDeparture(a.departed),
+		gate.WithBlocked(), gate.WithOnDeparture(a.departed), gate.WithOnMalformed(a.stats.CountMalformed),
 		gate.WithOnRun(func() { a.graph.CountRun(timer.Now()) }))
 	a.tree.Cleanup(stop)
 	a.links, stop = remote.New(self, a.adapter.Names, bodies)
--- a/internal/node/call/call.go
+++ b/internal/node/call/call.go
@@ -126,6 +126,8 @@
 	TargetMoved Reason = "target-moved"
 	// AnswerLost means that the connection broke before the response was complete.
 	AnswerLost Reason = "answer-lost"
+	// Malformed means that the target sent bytes that are no answer, or a success that is not its own.
+	Malformed Reason = "malformed-answer"
 	// Unreachable means that the node beside the target could not be connected to.
 	Unreachable Reason = "node-unreachable"
 	// CallerGone means that the caller disconnected.
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -57,6 +57,8 @@
 	filter   msg.Filter
 	onChange func(State)
 	onRun    func()
+	// onMalformed is called with the reason for each response that is not the target's answer.
+	onMalformed func(reason string)
 	// onDeparture is called with all departures on record after a new one.
 	onDeparture func([]starts.Departure)
 	crashes     CrashTracker
@@ -189,6 +191,7 @@
 		filter:        msg.NewFilter(call.FieldCall, call.FieldLoad, call.FieldRefused, call.FieldCrash),
 		onChange:      func(State) {},
 		onRun:         func() {},
+		onMalformed:   func(string) {},
 		onDeparture:   func([]starts.Departure) {},
 		crashes:       noCrashes{},
 		log:           zerolog.Nop(),
--- a/internal/node/gate/send.go
+++ b/internal/node/gate/send.go
@@ -108,6 +108,10 @@
 	if err == nil && answer.Status != fasthttp.StatusMisdirectedRequest {
 		g.observe(c, target, answer)
 	}
+	if reason := g.malformation(c, answer, err); reason != "" {
+		g.reportMalformed(c, target, reason, answer, err)
+		return unknownOutcome(call.Malformed)
+	}
 	return g.classify(ctx, target, answer, err)
 }
 
--- a/internal/node/stats/stats.go
+++ b/internal/node/stats/stats.go
@@ -20,6 +20,7 @@
 	caughtUp      prometheus.Histogram
 	failedFetches prometheus.Counter
 	departures    *prometheus.HistogramVec
+	malformed     *prometheus.CounterVec
 }
 
 // New returns metrics with a new registry.
@@ -53,8 +54,12 @@
 			Help:    "Time from a target's report that it is draining or gone until its departure was durable, by what it rests on.",
 			Buckets: prometheus.ExponentialBuckets(0.002, 2, 10),
 		}, []string{"basis"}),
+		malformed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "fuchsiapier_gate_malformed_responses_total",
+			Help: "Responses that were not the target's answer, by reason.",
+		}, []string{"reason"}),
 	}
-	s.registry.MustRegister(s.responses, s.latency, s.dropped, s.caughtUp, s.failedFetches, s.departures)
+	s.registry.MustRegister(s.responses, s.latency, s.dropped, s.caughtUp, s.failedFetches, s.departures, s.malformed)
 	return s
 }
 
@@ -86,6 +91,11 @@
 	s.departures.WithLabelValues(basis).Observe(waited.Seconds())
 }
 
+// CountMalformed counts a response that was not the target's answer.
+func (s *Stats) CountMalformed(reason string) {
+	s.malformed.WithLabelValues(reason).Inc()
+}
+
 // CountDropped counts n log lines that were not written.
 func (s *Stats) CountDropped(n int) {
 	s.dropped.Add(float64(n))
--- a/internal/pipe/frame/frame.go
+++ b/internal/pipe/frame/frame.go
@@ -27,6 +27,7 @@
 
 	"golang.org/x/net/http2/hpack"
 
+	"fuchsiapier/internal/pipe/head"
 	"fuchsiapier/internal/pipe/httpc"
 	"fuchsiapier/internal/pipe/msg"
 )
@@ -279,7 +280,18 @@
 	return parseLines(fields, extra)
 }
 
-// decodeRequest returns errMalformed for a request without a method or a path.
+// valid reports whether the names and values of the fields may stand in the head of a message.
+func (f Fields) valid() bool {
+	for i := range f {
+		if !head.ValidName(strings.TrimPrefix(f[i].Name, ":")) || !head.ValidValue(f[i].Value) {
+			return false
+		}
+	}
+	return true
+}
+
+// decodeRequest returns errMalformed for a request without a method or a path, or with a field that may
+// not stand in the head of a message.
 func decodeRequest(fields Fields, body []byte) (*Request, error) {
 	r := &Request{
 		Header: fields,
@@ -291,16 +303,17 @@
 			Body:    body,
 		},
 	}
-	if r.Method == "" || r.URI == "" {
+	if r.Method == "" || r.URI == "" || !fields.valid() {
 		return nil, errMalformed
 	}
 	return r, nil
 }
 
-// decodeResponse returns errMalformed for a response whose status is no number.
+// decodeResponse returns errMalformed for a response whose status is not that of a final response, or
+// with a field that may not stand in the head of a message.
 func decodeResponse(fields Fields, body []byte) (*Answer, error) {
 	status, err := strconv.Atoi(fields.Get(fieldStatus))
-	if err != nil {
+	if err != nil || !head.ValidStatus(status) || !fields.valid() {
 		return nil, errors.Join(errMalformed, err)
 	}
 	return &Answer{
--- a/internal/pipe/frame/frame_test.go
+++ b/internal/pipe/frame/frame_test.go
@@ -91,6 +91,35 @@
 	})
 }
 
+// TestMalformedMessagesOfNodes guards against a response of another node that is no answer in the protocol and
+// reaches the caller as one, or a request with such a field that reaches a target.
+func TestMalformedMessagesOfNodes(t *testing.T) {
+	field := func(name, value string) Fields {
+		return Fields{
+			{Name: fieldMethod, Value: "GET"},
+			{Name: fieldPath, Value: "/"},
+			{Name: fieldStatus, Value: "200"},
+			{Name: name, Value: value},
+		}
+	}
+	Convey("Fields that may not stand in a head are malformed", t, func() {
+		for _, f := range []Fields{field("X Id", "a"), field("", "a"), field("X-Id\x01", "a"), field("X-Id", "a\r\nX-Other: b"), field("X-Id", "a\x00")} {
+			_, err := decodeResponse(f, nil)
+			So(errors.Is(err, errMalformed), ShouldBeTrue)
+			_, err = decodeRequest(f, nil)
+			So(errors.Is(err, errMalformed), ShouldBeTrue)
+		}
+		_, err := decodeResponse(field("X-Id", "a\tb \xfc"), nil)
+		So(err, ShouldBeNil)
+	})
+	Convey("So are statuses that no final response has", t, func() {
+		for _, status := range []string{"0", "000", "100", "199", "600", "-200", "", "2x"} {
+			_, err := decodeResponse(Fields{{Name: fieldStatus, Value: status}}, nil)
+			So(errors.Is(err, errMalformed), ShouldBeTrue)
+		}
+	})
+}
+
 // TestRepeatedFieldsAreCompressed guards against more billed bytes between failure
 // domains, as when each request sends its repeated fields in full.
 func TestRepeatedFieldsAreCompressed(t *testing.T) {
--- a/internal/pipe/httpc/bodies.go
+++ b/internal/pipe/httpc/bodies.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http/httputil"
 	"sync/atomic"
+
+	"fuchsiapier/internal/pipe/head"
 )
 
 const (
@@ -50,13 +52,17 @@
 	UntilClose = -2
 )
 
-// ReadBody reads the body of a response with a content length as fasthttp tells it. The
-// trailer of a chunked body is left to the caller.
+// ReadBody reads the body of a response with a content length as fasthttp tells it, with the trailer
+// of a chunked one, which is dropped.
 func (b *Bodies) ReadBody(r *bufio.Reader, length int) ([]byte, error) {
-	if length == Chunked {
-		return b.Read(httputil.NewChunkedReader(r), length)
+	if length != Chunked {
+		return b.Read(r, length)
+	}
+	body, err := b.Read(httputil.NewChunkedReader(r), length)
+	if err != nil {
+		return nil, err
 	}
-	return b.Read(r, length)
+	return body, head.ReadTrailer(r)
 }
 
 // Read reads exactly n bytes or, if n is negative, up to the end of r.
--- a/internal/pipe/httpc/pool.go
+++ b/internal/pipe/httpc/pool.go
@@ -7,7 +7,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -18,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
+	"fuchsiapier/internal/pipe/head"
 	"fuchsiapier/internal/pipe/msg"
 )
 
@@ -286,7 +286,7 @@
 	h := &fasthttp.ResponseHeader{}
 	h.SetNoDefaultContentType(true)
 	for interim := 0; ; interim++ {
-		if err := h.Read(c.Reader); err != nil {
+		if err := ReadHead(c.Reader, h); err != nil {
 			return nil, false, err
 		}
 		if h.StatusCode() >= 200 {
@@ -321,17 +321,18 @@
 // errInterim is returned for a peer that sends only interim responses.
 var errInterim = errors.New("too many interim responses")
 
+// ReadHead reads the head of a response, which must be valid: its errors match *head.Error if it is not.
+func ReadHead(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	if err := head.PeekResponse(r); err != nil {
+		return err
+	}
+	return h.Read(r)
+}
+
 // readBody reads a complete body. A body that ends with the connection is complete
 // if the peer closed the connection in order (FIN), not if it reset it.
 func (p *Pool) readBody(r *bufio.Reader, h *fasthttp.ResponseHeader) ([]byte, error) {
-	body, err := p.bodies.ReadBody(r, h.ContentLength())
-	if err != nil || h.ContentLength() != Chunked {
-		return body, err
-	}
-	if err := h.ReadTrailer(r); err != nil && !errors.Is(err, io.EOF) {
-		return nil, err
-	}
-	return body, nil
+	return p.bodies.ReadBody(r, h.ContentLength())
 }
 
 // idleTimeout returns how long the connection may be reused after a response: the
--- a/lab/backend/backend.go
+++ b/lab/backend/backend.go
@@ -84,6 +84,8 @@
 	rateLimit string
 	// leaving says that responses have the header of a server that is about to stop.
 	leaving bool
+	// spoilEach says that each so many responses have a malformed head, 0 for none.
+	spoilEach int
 }
 
 // Backend is a running server. It is safe for concurrent use.
@@ -187,6 +189,33 @@
 	b.behavior.leaving = true
 }
 
+// SpoilHeads makes one in each so many responses malformed, as those of a server in trouble; 0 ends that.
+func (b *Backend) SpoilHeads(each int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.behavior.spoilEach = each
+}
+
+// spoiledHeads are malformed heads of responses. Their verbs are filled with the names and values of the
+// attempt and signature headers.
+var spoiledHeads = []string{
+	"HTTP/1.1 000 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok",
+	"HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nX Spoiled: a\r\nContent-Length: 2\r\n\r\nok",
+	"HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nX-\x01Spoiled: a\r\nContent-Length: 2\r\n\r\nok",
+	"HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length : 1\r\nConnection: close\r\n\r\nok",
+	"HTTP/1.1 200 OK\r\n%s: %s\r\n%s\x00: %s\r\nContent-Length: 2\r\n\r\nok",
+}
+
+// spoil responds with one of the malformed heads.
+func (b *Backend) spoil(w http.ResponseWriter, run int, attempt string) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(c, spoiledHeads[run%len(spoiledHeads)], b.config.Names.Attempt, attempt, b.config.Names.Signature, "proof-of-"+attempt)
+	_ = c.Close()
+}
+
 func (b *Backend) close() {
 	close(b.done)
 	_ = b.server.Close()
@@ -300,6 +329,10 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	if now.spoilEach > 0 && run%now.spoilEach == 0 {
+		b.spoil(w, run/now.spoilEach, attempt)
+		return
+	}
 	_, _ = fmt.Fprintf(w, "%s ran %s %s", b.config.ID, r.URL.Path, strings.TrimSpace(string(body)))
 }
 
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -92,6 +92,8 @@
 	silenceAfter time.Duration
 	// arrivals decides when and where the request that crashes servers comes in.
 	arrivals *rand.Rand
+	// spoiled decides which server sends malformed responses.
+	spoiled *rand.Rand
 	// departing is the VM whose server withdraws itself, with the node that is killed right after.
 	departing *departing
 	// restoredAt are the times at which the store was restored.
@@ -101,8 +103,8 @@
 // TestSoak guards against broken promises where faults overlap: restarts, kills and pauses of
 // nodes, limits and departures that servers name in responses, a server that withdraws itself and
 // whose failure domain is killed right after the confirmation, outages and restores of the store,
-// connections to it that go silent, changes of the configuration, and a request that crashes the servers which run it, beside
-// callers that use their connections until they end.
+// connections to it that go silent, changes of the configuration, malformed responses, and a request that crashes the servers
+// which run it, beside callers that use their connections until they end, some of which send ahead.
 func TestSoak(t *testing.T) {
 	first, last := seeds.Range(t, "FUCHSIAPIER_SOAK", 1, lastSoakSeed)
 	for seed := first; seed <= last; seed++ {
@@ -132,6 +134,7 @@
 		// Not drawn from random, so that the other faults of a seed stay as they were.
 		silenceAfter: time.Duration(rand.New(rand.NewPCG(seed, 1)).Int64N(int64(soakTime / 2))),
 		arrivals:     rand.New(rand.NewPCG(seed, 2)),
+		spoiled:      rand.New(rand.NewPCG(seed, 4)),
 	}
 	s.departing = newDeparting(rand.New(rand.NewPCG(seed, 3)), s.vms)
 	s.leaving[s.departing.vm] = true
@@ -153,6 +156,7 @@
 		}
 		callers.Go(func() { s.callAhead(v, 0, done) })
 	}
+	s.spoilHeads()
 	s.silenceConnections()
 	s.faults.Go(s.depart)
 	callers.Go(func() { s.sendCrashing(done) })
@@ -215,6 +219,13 @@
 	}
 }
 
+// spoilHeads makes a share of the responses of one server malformed.
+func (s *soak) spoilHeads() {
+	v, each := s.vms[s.spoiled.IntN(len(s.vms))], 20+s.spoiled.IntN(30)
+	s.note("one in %d responses of the server of %s is malformed", each, v.name)
+	v.server.SpoilHeads(each)
+}
+
 // silenceConnections lets the open connections to the store go silent once, in the middle of the
 // other faults, and changes the configuration just before and after.
 func (s *soak) silenceConnections() {
