--- a/internal/pipe/head/head.go
+++ b/internal/pipe/head/head.go
@@ -19,6 +19,11 @@
 	// BadStatus means that the status line is not "HTTP/1.x", a status from 100 to 599 and a
 	// phrase.
 	BadStatus Reason = "status-line"
+	// BadRequestLine means that the request line is not a method, a target and "HTTP/1.x", each
+	// separated by one blank.
+	BadRequestLine Reason = "request-line"
+	// BadHost means that a request does not name one host.
+	BadHost Reason = "host"
 	// BadName means that the name of a field is not a token, for example holds a blank.
 	BadName Reason = "field-name"
 	// BadValue means that the value of a field holds a control byte, or that a line is continued on the
@@ -82,13 +87,46 @@
 	if _, err := r.Peek(1); err != nil {
 		return err
 	}
-	for {
-		data, _ := r.Peek(r.Buffered())
+	return peek(r, func(data []byte) error {
 		if begin := min(len(data), len(statusPrefix)); string(data[:begin]) != statusPrefix[:begin] {
 			return fail(BadStatus, data)
 		}
+		return nil
+	}, CheckResponse)
+}
+
+// PeekRequest checks the head of the request that r has next, and leaves it there. Empty lines before it are
+// dropped. It returns an *Error for one that is not valid, and the error of r if the head does not arrive.
+func PeekRequest(r *bufio.Reader) error {
+	for {
+		begin, err := r.Peek(1)
+		if err != nil {
+			return err
+		}
+		if begin[0] != '\r' {
+			break
+		}
+		begin, err = r.Peek(len(lineEnd))
+		if err != nil {
+			return err
+		}
+		if !bytes.Equal(begin, lineEnd) {
+			return fail(BadLineEnd, begin)
+		}
+		_, _ = r.Discard(len(lineEnd))
+	}
+	return peek(r, func([]byte) error { return nil }, CheckRequest)
+}
+
+// peek waits until r has a whole head and checks it; begin checks what has arrived of it so far.
+func peek(r *bufio.Reader, begin, check func(data []byte) error) error {
+	for {
+		data, _ := r.Peek(r.Buffered())
+		if err := begin(data); err != nil {
+			return err
+		}
 		if end := bytes.Index(data, headEnd); end >= 0 {
-			return CheckResponse(data[:end+len(headEnd)])
+			return check(data[:end+len(headEnd)])
 		}
 		if hasBareLineFeed(data) {
 			return fail(BadLineEnd, data)
@@ -131,6 +169,53 @@
 	return nil
 }
 
+// CheckRequest checks the head of a request, up to and with the empty line.
+func CheckRequest(head []byte) error {
+	line, fields, _ := bytes.Cut(head, lineEnd)
+	minor, err := parseRequestLine(line)
+	if err != nil {
+		return err
+	}
+	f := framing{}
+	hosts := 0
+	err = eachField(fields, func(name, value []byte) error {
+		if bytes.EqualFold(name, host) {
+			hosts++
+		}
+		return f.add(name, value)
+	})
+	switch {
+	case err != nil:
+		return err
+	case hosts > 1 || hosts == 0 && minor > 0:
+		return fail(BadHost, line)
+	case f.coded && f.hasLength:
+		return fail(BadLength, line)
+	case f.coded && minor == 0:
+		return fail(BadCoding, line)
+	}
+	return nil
+}
+
+// parseRequestLine checks a request line and returns the minor version in it, 0 or 1.
+func parseRequestLine(line []byte) (minor int, err error) {
+	method, rest, _ := bytes.Cut(line, []byte(" "))
+	target, version, _ := bytes.Cut(rest, []byte(" "))
+	if !ValidName(method) || len(target) == 0 || len(version) != len(statusPrefix)+1 || !bytes.HasPrefix(version, []byte(statusPrefix)) {
+		return 0, fail(BadRequestLine, line)
+	}
+	for _, c := range target {
+		if c <= ' ' || c == 0x7f {
+			return 0, fail(BadRequestLine, line)
+		}
+	}
+	minor = int(version[len(statusPrefix)] - '0')
+	if minor != 0 && minor != 1 {
+		return 0, fail(BadRequestLine, line)
+	}
+	return minor, nil
+}
+
 // parseStatus returns the status in a status line.
 func parseStatus(line []byte) (int, error) {
 	if len(line) < statusLineSize || !bytes.HasPrefix(line, []byte(statusPrefix)) || !isDigit(line[len(statusPrefix)]) ||
@@ -156,8 +241,9 @@
 	coded     bool
 }
 
-// Names of the fields that say where the body ends.
+// Names of fields.
 var (
+	host             = []byte("Host")
 	contentLength    = []byte("Content-Length")
 	transferEncoding = []byte("Transfer-Encoding")
 	chunked          = []byte("chunked")
--- a/internal/pipe/httpd/conn.go
+++ b/internal/pipe/httpd/conn.go
@@ -7,12 +7,15 @@
 	"errors"
 	"io"
 	"net"
+	"net/http/httputil"
 	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapier/internal/pipe/head"
+	"fuchsiapier/internal/pipe/httpc"
 	"fuchsiapier/internal/pipe/msg"
 )
 
@@ -170,30 +173,50 @@
 			return nil, nil
 		}
 	}
-	if err := req.ContinueReadBody(c.r, limits.BodyBytes, false); err != nil {
+	if err := c.readBody(req, limits.BodyBytes); err != nil {
 		fasthttp.ReleaseRequest(req)
 		return nil, bodyFailure(err)
 	}
 	return req, nil
 }
 
-// readHeader reads a header of at most limit bytes, or of the read buffer's size if
+// readHeader reads a valid header of at most limit bytes, or of the read buffer's size if
 // that is larger.
 func (c *conn) readHeader(req *fasthttp.Request, limit int) error {
-	err := req.Header.Read(c.r)
-	var small *fasthttp.ErrSmallBuffer
-	if !errors.As(err, &small) {
-		return err
+	err := head.PeekRequest(c.r)
+	if isTooLong(err) && c.r.Size() < limit {
+		c.r = bufio.NewReaderSize(c.r, limit)
+		err = head.PeekRequest(c.r)
 	}
-	if c.r.Size() >= limit {
+	switch {
+	case isTooLong(err):
 		return errHeaderTooLarge
+	case err != nil:
+		return err
 	}
-	c.r = bufio.NewReaderSize(c.r, limit)
-	err = req.Header.Read(c.r)
-	if errors.As(err, &small) {
-		return errHeaderTooLarge
+	return req.Header.Read(c.r)
+}
+
+// isTooLong reports whether an error says that a header doesn't fit into the read buffer.
+func isTooLong(err error) bool {
+	var malformed *head.Error
+	return errors.As(err, &malformed) && malformed.Reason == head.TooLong
+}
+
+// readBody reads the body of a request. Fields behind a chunked body are checked and dropped.
+func (c *conn) readBody(req *fasthttp.Request, limit int) error {
+	if req.Header.ContentLength() != httpc.Chunked {
+		return req.ContinueReadBody(c.r, limit, false)
+	}
+	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.r), int64(limit)+1))
+	switch {
+	case err != nil:
+		return err
+	case len(body) > limit:
+		return fasthttp.ErrBodyTooLarge
 	}
-	return err
+	req.SetBodyRaw(body)
+	return head.ReadTrailer(c.r)
 }
 
 // headerFailure returns the response to a header that can't be read, nil where the
