--- a/internal/node/agent/leave.go
+++ b/internal/node/agent/leave.go
@@ -8,17 +8,17 @@
 
 // Leave shuts the node down gracefully, and returns when only the clean-up is left.
 func (a *Agent) Leave() {
-	leave.Run(leaving{agent: a}, a.live.Load().Grace, a.log)
+	leave.Run(shutdown{agent: a}, a.live.Load().Grace, a.log)
 }
 
-// leaving implements leave.Node.
-type leaving struct {
+// shutdown implements leave.Node for an agent.
+type shutdown struct {
 	agent *Agent
 }
 
 // Enter begins a phase of the shutdown.
-func (l leaving) Enter(p leave.Phase) {
-	a := l.agent
+func (s shutdown) Enter(p leave.Phase) {
+	a := s.agent
 	switch p {
 	case leave.CallersLeave:
 		a.leaving.Store(true)
@@ -37,10 +37,10 @@
 }
 
 // Load returns what the node still has to do.
-func (l leaving) Load() leave.Load {
+func (s shutdown) Load() leave.Load {
 	return leave.Load{
-		Requests:    l.agent.callers.Pending(),
-		Calls:       l.agent.calls.Pending(),
-		Connections: l.agent.callers.Connections(),
+		Requests:    s.agent.callers.Pending(),
+		Calls:       s.agent.calls.Pending(),
+		Connections: s.agent.callers.Connections(),
 	}
 }
