--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -92,8 +92,8 @@
 	silenceAfter time.Duration
 	// arrivals decides when and where the request that crashes servers comes in.
 	arrivals *rand.Rand
-	// spoiled decides which server sends malformed responses.
-	spoiled *rand.Rand
+	// troubled decides which server sends malformed responses, and which is slow.
+	troubled *rand.Rand
 	// departing is the VM whose server withdraws itself, with the node that is killed right after.
 	departing *departing
 	// restoredAt are the times at which the store was restored.
@@ -134,7 +134,7 @@
 		// Not drawn from random, so that the other faults of a seed stay as they were.
 		silenceAfter: time.Duration(rand.New(rand.NewPCG(seed, 1)).Int64N(int64(soakTime / 2))),
 		arrivals:     rand.New(rand.NewPCG(seed, 2)),
-		spoiled:      rand.New(rand.NewPCG(seed, 4)),
+		troubled:     rand.New(rand.NewPCG(seed, 4)),
 	}
 	s.departing = newDeparting(rand.New(rand.NewPCG(seed, 3)), s.vms)
 	s.leaving[s.departing.vm] = true
@@ -156,7 +156,7 @@
 		}
 		callers.Go(func() { s.callAhead(v, 0, done) })
 	}
-	s.spoilHeads()
+	s.troubleServers()
 	s.silenceConnections()
 	s.faults.Go(s.depart)
 	callers.Go(func() { s.sendCrashing(done) })
@@ -219,11 +219,14 @@
 	}
 }
 
-// spoilHeads makes a share of the responses of one server malformed.
-func (s *soak) spoilHeads() {
-	v, each := s.vms[s.spoiled.IntN(len(s.vms))], 20+s.spoiled.IntN(30)
+// troubleServers makes a share of the responses of one server malformed, and another one slow.
+func (s *soak) troubleServers() {
+	v, each := s.vms[s.troubled.IntN(len(s.vms))], 20+s.troubled.IntN(30)
 	s.note("one in %d responses of the server of %s is malformed", each, v.name)
 	v.server.SpoilHeads(each)
+	slow, took := s.vms[s.troubled.IntN(len(s.vms))], 200*time.Millisecond+time.Duration(s.troubled.Int64N(int64(300*time.Millisecond)))
+	s.note("the server of %s takes %v", slow.name, took)
+	slow.server.SetServiceTime(took)
 }
 
 // silenceConnections lets the open connections to the store go silent once, in the middle of the
