pipe/httpd: a request behind a written response is not dropped in a shutdown

Cause, a fault of: a request is not read behind a pending one while the server drains. A response counts as pending until its goroutine has come back from writing it; a caller that has it sends the next request at once. With Drain in between, the response had been written to keep the connection open, and the request behind it was dropped, without an answer and without an end.

Change: what counts is whether it is decided, under the lock, that a pending response closes the connection. While one is undecided, the last one will close it; once none is, a request is read.

--- a/internal/pipe/httpd/conn.go
+++ b/internal/pipe/httpd/conn.go
@@ -30,8 +30,10 @@
 	// slots limits the requests that are handled concurrently.
 	slots chan struct{}
 	mu    sync.Mutex
-	// pending counts the requests read whose responses have not been written.
-	pending int
+	// pending counts the requests read whose responses have not been written, undecided those of them of
+	// which it is not decided yet whether the response closes the connection.
+	pending   int
+	undecided int
 	// reading is set while a request arrives.
 	reading bool
 	// lastWritten is closed when the response to the newest request has been written.
@@ -108,7 +110,7 @@
 func (c *conn) beginRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || c.pending > 0 && c.server.isDraining() {
+	if c.ended || c.undecided > 0 && c.server.isDraining() {
 		return false
 	}
 	c.reading = true
@@ -265,6 +267,7 @@
 		return false
 	}
 	c.pending++
+	c.undecided++
 	c.reading = false
 	c.server.addPending(1)
 	previous := c.lastWritten
@@ -317,7 +320,8 @@
 	defer c.finishRequest()
 	c.mu.Lock()
 	alreadyEnded := c.ended
-	closes := resp == nil || callerCloses || (c.server.isDraining() && c.pending == 1)
+	closes := resp == nil || callerCloses || (c.server.isDraining() && c.undecided == 1)
+	c.undecided--
 	if closes {
 		c.ended = true
 	}
@@ -376,6 +380,7 @@
 	}
 	c.mu.Lock()
 	c.pending++
+	c.undecided++
 	c.reading = false
 	c.mu.Unlock()
 	c.server.addPending(1)
--- a/internal/pipe/httpd/drain_test.go
+++ b/internal/pipe/httpd/drain_test.go
@@ -1,6 +1,7 @@
 package httpd
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -134,3 +135,47 @@
 	}
 	return false
 }
+
+// stalledConn is a connection whose first write returns only once resume is closed, although the caller has
+// got the bytes: as if the writing goroutine were suspended.
+type stalledConn struct {
+	net.Conn
+	first  sync.Once
+	resume chan struct{}
+}
+
+func (c *stalledConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.first.Do(func() { <-c.resume })
+	return n, err
+}
+
+// TestDrainBehindLateWrite guards against a request that is dropped in a shutdown and never answered: the
+// caller sends it as soon as it has the response before, which keeps the connection open, and the
+// server still counts that response as pending.
+func TestDrainBehindLateWrite(t *testing.T) {
+	Convey("A request behind a response that keeps the connection open is answered", t, func() {
+		s, _, _ := start(t, echo)
+		near, far := net.Pipe()
+		defer func() { _ = near.Close() }()
+		_ = near.SetDeadline(time.Now().Add(waitTimeout))
+		stalled := &stalledConn{
+			Conn:   far,
+			resume: make(chan struct{}),
+		}
+		go s.serve(stalled)
+		r := bufio.NewReader(near)
+		send(near, "/1")
+		status, _, closes := read(r)
+		So(status, ShouldEqual, http.StatusOK)
+		So(closes, ShouldBeFalse)
+		s.Drain()
+		send(near, "/2")
+		time.Sleep(50 * time.Millisecond)
+		close(stalled.resume)
+		status, body, closes := read(r)
+		So(status, ShouldEqual, http.StatusOK)
+		So(body, ShouldEqual, "GET /2")
+		So(closes, ShouldBeTrue)
+	})
+}
