--- a/test/crowd_test.go
+++ b/test/crowd_test.go
@@ -275,6 +275,19 @@
 	})
 }
 
+// TestCrowdHeadsAhead is like TestCrowdSmallAhead, with heads that are nearly as large as the limit: each is held
+// several times.
+func TestCrowdHeadsAhead(t *testing.T) {
+	Convey("Many requests with large heads sent ahead on many connections", t, func() {
+		s := toFront(crowd.Settings{
+			Clients:  150,
+			Requests: 40,
+		})
+		s.Fields += "X-Large: " + strings.Repeat("x", 15<<10) + "\r\n"
+		meetCrowd(t, crowdMachine, 0, portOutbound, crowdServiceTime, s)
+	})
+}
+
 // TestCrowdUnread guards against responses that their callers don't read.
 func TestCrowdUnread(t *testing.T) {
 	Convey("Large responses that are not read", t, func() {
