--- a/internal/admit/crash/crash.go
+++ b/internal/admit/crash/crash.go
@@ -42,13 +42,15 @@
 // FingerprintOf returns the fingerprint of a request, the first bytes of a SHA-256 hash of the
 // arguments. The hash is a cryptographic one so that no workspace can make a request that counts as
 // another one's, crash targets with it and have that one refused.
-func FingerprintOf(workspace, method, path string, body []byte) Fingerprint {
+func FingerprintOf(workspace, method, path string, body ...[]byte) Fingerprint {
 	h := sha256.New()
 	for _, part := range []string{workspace, method, path} {
 		_, _ = h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(part))))
 		_, _ = h.Write([]byte(part))
 	}
-	_, _ = h.Write(body)
+	for _, piece := range body {
+		_, _ = h.Write(piece)
+	}
 	return Fingerprint(binary.BigEndian.Uint64(h.Sum(nil)))
 }
 
--- a/internal/edge/pool/pool.go
+++ b/internal/edge/pool/pool.go
@@ -161,11 +161,12 @@
 	if length == httpc.UntilClose {
 		return errNoLength
 	}
-	body, err := p.bodies.ReadBody(r, length)
+	content, err := p.bodies.ReadBody(r, length)
 	if err != nil {
 		return err
 	}
-	resp.SetBodyRaw(body)
+	resp.SetBodyRaw(content.Bytes())
+	content.Release()
 	return nil
 }
 
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,10 +49,6 @@
 	tickPeriod = 100 * time.Millisecond
 	// trimPeriod is how often idle connections are looked for and closed.
 	trimPeriod = 2 * time.Second
-	// bodiesDivisor and bodyDivisor give the parts of the memory limit that all bodies may
-	// use, and a single one, while they are read from targets and other nodes.
-	bodiesDivisor = 4
-	bodyDivisor   = 8
 )
 
 // Adapter holds the names and formats of the users' platform and the client of its
@@ -111,7 +106,9 @@
 	fetcher *fetch.Fetcher
 	// departures makes the departures of the target durable, held holds those of other nodes.
 	departures *depart.Recorder
-	held       *depart.Holder
+	// budgets bound what callers, other nodes and targets can make the node hold.
+	budgets budgets
+	held    *depart.Holder
 	// storeListed is closed once the records of the store were read.
 	storeListed chan struct{}
 	onListed    sync.Once
@@ -158,12 +155,13 @@
 	if err != nil {
 		return err
 	}
+	a.budgets = newBudgets(a.deploy, a.memoryShort)
 	a.setMemoryLimit(a.deploy)
 	if err := a.startMesh(self); err != nil {
 		return err
 	}
 	var stop func()
-	bodies := httpc.NewBodies(int(a.deploy.MemoryBytes/bodiesDivisor), int(a.deploy.MemoryBytes/bodyDivisor))
+	bodies := httpc.NewBodiesWithin(a.budgets.memory)
 	a.gate, stop = gate.New(a.adapter.Names, gate.WithBodies(bodies), gate.WithOnChange(a.targetChanged), gate.WithCrashTracker(a.crashes), gate.WithLog(a.requestLog),
 		gate.WithTargetLog(a.log.Sample(a.stats.Sampler())),
 		gate.WithBlocked(), gate.WithOnDeparture(a.departed), gate.WithOnMalformed(a.stats.CountMalformed),
@@ -177,7 +175,7 @@
 	}
 	a.reloader, stop = reload.New(a.deploy, source, a.applySettings, reload.WithLog(a.log))
 	a.tree.Cleanup(stop)
-	if err := a.listen(self, bodies); err != nil {
+	if err := a.listen(self); err != nil {
 		return err
 	}
 	a.registerGauges()
@@ -206,6 +204,7 @@
 	register("gate_limit", "Calls that may run at the target at once.", func() int { return a.gate.State().Limit })
 	a.stats.Gauge("fuchsiapier_gate_rate_limit", "Requests per second that the target accepts, 0 for no limit.", func() float64 { return a.gate.State().RateLimit })
 	a.stats.Counter("fuchsiapier_gate_sent_total", "Requests that were sent to the target, or would have been if it could be connected to.", nil, func() float64 { return float64(a.gate.State().Sent) })
+	a.registerBudgets()
 	register("peers_alive", "Live nodes, this one included.", func() int { return len(a.peers.View().Nodes()) })
 	for _, c := range a.gate.CrashCounts() {
 		labels := map[string]string{}
@@ -327,7 +326,7 @@
 
 // listen opens the listeners for callers, other nodes, announcements of the target,
 // readiness checks and metrics.
-func (a *Agent) listen(self peers.Node, bodies *httpc.Bodies) error {
+func (a *Agent) listen(self peers.Node) error {
 	a.entry = entry.New(entry.Config{
 		Names:       a.adapter.Names,
 		Self:        self,
@@ -346,13 +345,13 @@
 	})
 	var stop func()
 	var err error
-	a.callers, stop, err = httpd.New(a.deploy.CallersAddress, a.entry.Handle, httpd.WithLog(a.log), httpd.WithLimits(a.limits))
+	a.callers, stop, err = httpd.New(a.deploy.CallersAddress, a.entry.Handle, httpd.WithLog(a.log), httpd.WithLimits(a.limits), httpd.WithBudgets(a.budgets.ofCallers()), httpd.WithRefusalLog(a.requestLog))
 	if err != nil {
 		return err
 	}
 	a.tree.Cleanup(stop)
 	receiver := remote.NewReceiver(a.gate, a.adapter.Names, a.watcher.Raw, remote.WithDepartures(a.held))
-	a.calls, stop, err = frame.Serve(a.deploy.Gate, receiver.Handle, bodies, a.log, a.adapter.Names.Attempt, a.adapter.Names.Signature)
+	a.calls, stop, err = frame.Serve(a.deploy.Gate, receiver.Handle, a.budgets.ofNodes(), a.log, a.adapter.Names.Attempt, a.adapter.Names.Signature)
 	if err != nil {
 		return err
 	}
@@ -404,15 +403,7 @@
 	a.live.Store(&s)
 	a.retryBudget.SetBounds(retryBounds(s))
 	a.setMemoryLimit(s)
-}
-
-// memoryFraction is the fraction of the memory limit in the settings that becomes the soft
-// memory limit of the Go runtime.
-const memoryFraction = 0.6
-
-// setMemoryLimit sets the soft memory limit of the Go runtime.
-func (a *Agent) setMemoryLimit(s deploy.Settings) {
-	debug.SetMemoryLimit(int64(memoryFraction * float64(s.MemoryBytes)))
+	a.checkBodyLimit()
 }
 
 // domains returns the number of failure domains, which share each retry budget equally.
@@ -462,6 +453,7 @@
 
 // configApplied publishes the version of the configuration in force to the other nodes.
 func (a *Agent) configApplied(r *rules.Rules) {
+	a.checkBodyLimit()
 	a.peers.Update(timer.Now(), true, func(n *peers.Node) { n.Rules = r.Version() })
 }
 
--- a/internal/node/call/call.go
+++ b/internal/node/call/call.go
@@ -77,7 +77,7 @@
 // Fingerprint returns the hash of the request's workspace, method, host, URI and body, which
 // all attempts of a request have in common, wherever they come in.
 func (c *Call) Fingerprint() crash.Fingerprint {
-	return crash.FingerprintOf(c.Workspace, c.Request.Method, c.Request.Host+c.Request.URI, c.Request.Body)
+	return crash.FingerprintOf(c.Workspace, c.Request.Method, c.Request.Host+c.Request.URI, c.Request.Body.Pieces()...)
 }
 
 // Outcome says whether a target responded to a request and whether it may have run.
@@ -136,6 +136,8 @@
 	Timeout Reason = "timeout"
 	// CrashesTargets means that the request is in quarantine because it crashed targets.
 	CrashesTargets Reason = "crashes-targets"
+	// NoMemory means that the node beside the target had no memory for the request's body.
+	NoMemory Reason = "no-memory"
 	// Overloaded means that the request was shed on arrival because the services on its
 	// path are overloaded.
 	Overloaded Reason = "path-overloaded"
--- a/internal/node/call/call_test.go
+++ b/internal/node/call/call_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	sent "fuchsiapier/internal/pipe/body"
 	"fuchsiapier/internal/pipe/msg"
 )
 
@@ -70,7 +71,7 @@
 				Method: "POST",
 				Host:   "ledger.example",
 				URI:    uri,
-				Body:   []byte(body),
+				Body:   sent.Of([]byte(body)),
 			},
 		}
 	}
--- a/internal/node/entry/dispatch.go
+++ b/internal/node/entry/dispatch.go
@@ -261,7 +261,9 @@
 	}
 	e.picker.begin(&node)
 	began := time.Now()
+	c.Request.Body.Retain()
 	go func() {
+		defer c.Request.Body.Release()
 		result := e.send(ctx, node, &c)
 		e.picker.end(time.Now(), &node, classify(result), time.Since(began), result)
 		d.results <- attempt{
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -436,7 +436,7 @@
 
 // recordSize adds a request and its response to the mean size of the route.
 func (e *Entry) recordSize(q *request, resp *msg.Response) {
-	bytes := float64(headerOverhead + len(q.in.Body) + len(resp.Body))
+	bytes := float64(headerOverhead + q.in.Body.Len() + resp.Body.Len())
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	mean, ok := e.meanSizes[q.route.Name]
--- a/internal/node/gate/send.go
+++ b/internal/node/gate/send.go
@@ -104,7 +104,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, left+responseGrace)
 	defer cancel()
-	answer, err := pool.Do(ctx, g.encode(c, target, left), c.Request.Method, c.Attempt)
+	answer, err := pool.DoWithBody(ctx, g.encodeHead(c, target, left), c.Request.Body, c.Request.Method, c.Attempt)
 	if err == nil && answer.Status != fasthttp.StatusMisdirectedRequest {
 		g.observe(c, target, answer)
 	}
@@ -115,18 +115,18 @@
 	return g.classify(ctx, target, answer, err)
 }
 
-// encode returns the request as sent to the target, with the time left to the
-// deadline and the ID of the target that it is meant for.
-func (g *Gate) encode(c *call.Call, target Target, left time.Duration) []byte {
+// encodeHead returns the head of the request as sent to the target, with the time left to the
+// deadline and the ID of the target that it is meant for. It has room for a small body behind it.
+func (g *Gate) encodeHead(c *call.Call, target Target, left time.Duration) []byte {
 	millis := max((left - deadlineMargin).Milliseconds(), 1)
-	out := make([]byte, 0, headerCapacity+len(c.Request.Body))
+	out := make([]byte, 0, headerCapacity+c.Request.Body.RoomBehindHead())
 	out = c.Request.AppendHead(out)
 	out = append(out, c.Extra...)
 	out = msg.AppendField(out, g.names.Deadline, strconv.FormatInt(millis, 10))
 	if target.ID != "" {
 		out = msg.AppendField(out, g.names.ExpectTarget, target.ID)
 	}
-	return c.Request.AppendBody(out)
+	return c.Request.AppendLength(out)
 }
 
 // classify derives the result of a call from an exchange with the target. NotRun
--- a/internal/node/remote/departures.go
+++ b/internal/node/remote/departures.go
@@ -13,6 +13,7 @@
 	"fuchsiapier/internal/mesh/peers"
 	"fuchsiapier/internal/node/depart"
 	"fuchsiapier/internal/node/starts"
+	"fuchsiapier/internal/pipe/body"
 	"fuchsiapier/internal/pipe/frame"
 	"fuchsiapier/internal/pipe/msg"
 )
@@ -53,14 +54,14 @@
 // Hold makes another node hold a record, and returns once it does. It opens a new connection, since
 // open ones may be dead without a sign.
 func (l *Links) Hold(ctx context.Context, at peers.Node, r depart.Record, reach depart.Reach) error {
-	body, err := cbor.Marshal(r.Departures)
+	departures, err := cbor.Marshal(r.Departures)
 	if err != nil {
 		return fmt.Errorf("encode departures: %w", err)
 	}
 	answer, err := l.client(&at).DoOnNewConn(ctx, &msg.Request{
 		Method: fasthttp.MethodPost,
 		URI:    departuresURI(r.Owner, reach),
-		Body:   body,
+		Body:   body.Of(departures),
 	}, nil)
 	if err != nil {
 		return err
@@ -88,7 +89,7 @@
 		return nil, fmt.Errorf("%w: status %d", errDepartures, answer.Status)
 	}
 	var departures []starts.Departure
-	if err := cbor.Unmarshal(answer.Body, &departures); err != nil {
+	if err := cbor.Unmarshal(answer.Body.Bytes(), &departures); err != nil {
 		return nil, fmt.Errorf("%w: %w", errDepartures, err)
 	}
 	return departures, nil
@@ -119,24 +120,24 @@
 	case !ok:
 		return nil
 	case in.Method == fasthttp.MethodPost:
-		return r.holdDepartures(ctx, in.Body, owner, reach)
+		return r.holdDepartures(ctx, in.Body.Bytes(), owner, reach)
 	}
-	body, err := cbor.Marshal(r.departures.Recall(ctx, owner, reach))
+	departures, err := cbor.Marshal(r.departures.Recall(ctx, owner, reach))
 	if err != nil {
 		return msg.Plain(fasthttp.StatusInternalServerError, err.Error())
 	}
 	return &msg.Response{
 		Status: fasthttp.StatusOK,
-		Body:   body,
+		Body:   body.Of(departures),
 	}
 }
 
 // holdDepartures adds to the departures that are held for an owner.
-func (r *Receiver) holdDepartures(ctx context.Context, body []byte, owner string, reach depart.Reach) *msg.Response {
+func (r *Receiver) holdDepartures(ctx context.Context, departures []byte, owner string, reach depart.Reach) *msg.Response {
 	record := depart.Record{
 		Owner: owner,
 	}
-	if err := cbor.Unmarshal(body, &record.Departures); err != nil {
+	if err := cbor.Unmarshal(departures, &record.Departures); err != nil {
 		return msg.Plain(fasthttp.StatusBadRequest, err.Error())
 	}
 	if err := r.departures.Hold(ctx, record, reach); err != nil {
--- a/internal/node/remote/remote.go
+++ b/internal/node/remote/remote.go
@@ -15,6 +15,7 @@
 
 	"fuchsiapier/internal/mesh/peers"
 	"fuchsiapier/internal/node/call"
+	"fuchsiapier/internal/pipe/body"
 	"fuchsiapier/internal/pipe/frame"
 	"fuchsiapier/internal/pipe/httpc"
 	"fuchsiapier/internal/pipe/msg"
@@ -33,6 +34,8 @@
 	// another node gets, for the time that its response takes to arrive.
 	sameRegionMargin  = 5 * time.Millisecond
 	crossRegionMargin = 70 * time.Millisecond
+	// noMemoryRetryAfter is the retry delay where this node had no memory for a call.
+	noMemoryRetryAfter = 500 * time.Millisecond
 	// RulesPath is the path at which a node serves the configuration in force on it.
 	RulesPath = "/fuchsiapier/rules"
 )
@@ -202,7 +205,7 @@
 	if answer.Status != fasthttp.StatusOK {
 		return nil, errNoRules
 	}
-	return answer.Body, nil
+	return answer.Body.Bytes(), nil
 }
 
 // Gate runs calls on the target beside the receiving node.
@@ -248,6 +251,13 @@
 // a request about departures or for the configuration. It returns nil where the sending node
 // canceled the call.
 func (r *Receiver) Handle(ctx context.Context, in *frame.Request) *msg.Response {
+	if in.NoMemory {
+		return gateResponse(fasthttp.StatusServiceUnavailable, call.Result{
+			Outcome:    call.NotRun,
+			Reason:     call.NoMemory,
+			RetryAfter: noMemoryRetryAfter,
+		})
+	}
 	field := in.Header.Get(call.FieldCall)
 	if field == "" {
 		if out := r.serveDepartures(ctx, in); out != nil {
@@ -278,7 +288,7 @@
 	}
 	return &msg.Response{
 		Status: fasthttp.StatusOK,
-		Body:   record,
+		Body:   body.Of(record),
 	}
 }
 
--- a/internal/node/remote/remote_test.go
+++ b/internal/node/remote/remote_test.go
@@ -14,6 +14,8 @@
 	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/mesh/peers"
 	"fuchsiapier/internal/node/call"
+	"fuchsiapier/internal/pipe/accept"
+	"fuchsiapier/internal/pipe/body"
 	"fuchsiapier/internal/pipe/frame"
 	"fuchsiapier/internal/pipe/httpc"
 	"fuchsiapier/internal/pipe/msg"
@@ -66,7 +68,7 @@
 // which it knows the first.
 func serve(t *testing.T, receiver *Receiver, bodies *httpc.Bodies) (*Links, peers.Node) {
 	t.Helper()
-	server, stop, err := frame.Serve("127.0.0.1:0", receiver.Handle, bodies, zerolog.Nop(), names.Attempt)
+	server, stop, err := frame.Serve("127.0.0.1:0", receiver.Handle, accept.Unlimited(), zerolog.Nop(), names.Attempt)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -252,7 +254,7 @@
 				Method:  "POST",
 				URI:     "/x?y=1",
 				Host:    "h",
-				Body:    []byte("bad"),
+				Body:    body.Of([]byte("bad")),
 				HasBody: true,
 			},
 		}
--- a/internal/node/stats/stats.go
+++ b/internal/node/stats/stats.go
@@ -146,8 +146,15 @@
 // Gauge registers a gauge whose value is read at each scrape. It panics if the
 // name is taken.
 func (s *Stats) Gauge(name, help string, read func() float64) {
+	s.LabeledGauge(name, help, nil, read)
+}
+
+// LabeledGauge registers a gauge with labels whose value is read at each scrape. It panics if the name and
+// labels are taken.
+func (s *Stats) LabeledGauge(name, help string, labels map[string]string, read func() float64) {
 	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: name,
-		Help: help,
+		Name:        name,
+		Help:        help,
+		ConstLabels: labels,
 	}, read))
 }
--- a/internal/pipe/frame/bench_test.go
+++ b/internal/pipe/frame/bench_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"fuchsiapier/internal/pipe/accept"
 	"fuchsiapier/internal/pipe/httpc"
 	"fuchsiapier/internal/pipe/msg"
 )
@@ -16,7 +17,7 @@
 func BenchmarkCall(b *testing.B) {
 	s, stop, err := Serve("127.0.0.1:0", func(context.Context, *Request) *msg.Response {
 		return msg.Plain(200, "ok")
-	}, testBodies(), zerolog.Nop(), "X-Id")
+	}, accept.Unlimited(), zerolog.Nop(), "X-Id")
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -39,7 +40,7 @@
 	r := request("6366cff5387c3798")
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := c.append(requestFields(r, nil), r.Body); err != nil {
+		if _, err := c.appendHead(requestFields(r, nil), r.Body.Len()); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/pipe/frame/client.go
+++ b/internal/pipe/frame/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"fuchsiapier/internal/pipe/body"
 	"fuchsiapier/internal/pipe/httpc"
 	"fuchsiapier/internal/pipe/msg"
 )
@@ -78,7 +79,7 @@
 // exchange sends a request on a connection and reads the response to it. keep says that the
 // connection may be used again; after a withdrawal it may not, since that could arrive behind the
 // response.
-func (c *Client) exchange(conn *httpc.Conn, fields Fields, body []byte, withdrawn context.Context) (resp *Answer, keep bool, err error) {
+func (c *Client) exchange(conn *httpc.Conn, fields Fields, content body.Body, withdrawn context.Context) (resp *Answer, keep bool, err error) {
 	cc, ok := conn.State.(*clientConn)
 	if !ok {
 		cc = &clientConn{
@@ -86,20 +87,20 @@
 		}
 		conn.State = cc
 	}
-	encoded, err := cc.append(fields, body)
+	encoded, err := cc.appendHead(fields, content.Len())
 	if err != nil {
 		return nil, false, errors.Join(httpc.ErrNotSent, err)
 	}
 	cc.sent++
 	// A node that reads no further requests may have closed the connection: what it sent before says
 	// how many it has read.
-	_, writeErr := conn.Write(encoded)
+	writeErr := content.WriteTo(conn.Conn, encoded)
 	keep = true
 	if withdrawn != nil {
 		stop := context.AfterFunc(withdrawn, func() { _, _ = conn.Write(withdrawal) })
 		defer func() { keep = stop() && keep }()
 	}
-	header, body, err := cc.read(conn.Reader)
+	header, answer, err := cc.read(conn.Reader)
 	var away goAwayError
 	if errors.As(err, &away) && away.read < cc.sent {
 		return nil, false, errors.Join(httpc.ErrNotSent, err)
@@ -108,7 +109,7 @@
 		return nil, false, errors.Join(httpc.ErrResponseLost, err)
 	}
 	conn.FreshUntil = time.Now().Add(clientIdleTimeout)
-	resp, err = decodeResponse(header, body)
+	resp, err = decodeResponse(header, answer)
 	if err != nil {
 		return nil, false, errors.Join(httpc.ErrResponseLost, err)
 	}
--- a/internal/pipe/frame/frame.go
+++ b/internal/pipe/frame/frame.go
@@ -27,6 +27,7 @@
 
 	"golang.org/x/net/http2/hpack"
 
+	"fuchsiapier/internal/pipe/body"
 	"fuchsiapier/internal/pipe/head"
 	"fuchsiapier/internal/pipe/httpc"
 	"fuchsiapier/internal/pipe/msg"
@@ -45,6 +46,8 @@
 	maxFrame = 80 << 20
 	// maxHeaderBlock bounds a header block, in bytes; its length field has 16 bits.
 	maxHeaderBlock = 1<<16 - 1
+	// roomBehindHead bounds the room for a body behind an encoded head, in bytes.
+	roomBehindHead = 8 << 10
 	// tableSize bounds the dynamic table of a connection's decoder, in bytes; it is
 	// the default of the encoder's.
 	tableSize = 4 << 10
@@ -162,7 +165,7 @@
 	block   bytes.Buffer
 	encoder *hpack.Encoder
 	decoder *hpack.Decoder
-	// bodies bounds the memory of the frames that are read.
+	// bodies bounds the memory of the responses that are read.
 	bodies *httpc.Bodies
 	// neverIndexed names fields, case-sensitively, whose values never repeat. They are
 	// sent as never-indexed literals, to leave the dynamic table to the others.
@@ -184,9 +187,9 @@
 	return c
 }
 
-// append encodes a message as a frame. After an error the encoder's table may
-// differ from the peer's, so the connection must be closed.
-func (c *codec) append(fields Fields, body []byte) ([]byte, error) {
+// appendHead encodes the part of a message's frame before its body, which has the given length. After an
+// error the encoder's table may differ from the peer's, so the connection must be closed.
+func (c *codec) appendHead(fields Fields, bodyLength int) ([]byte, error) {
 	c.block.Reset()
 	for _, f := range fields {
 		f.Sensitive = c.neverIndexed[f.Name]
@@ -197,48 +200,62 @@
 	if c.block.Len() > maxHeaderBlock {
 		return nil, errTooLarge
 	}
-	size := blockLengthSize + c.block.Len() + len(body)
-	out := make([]byte, 0, frameLengthSize+size)
+	size := blockLengthSize + c.block.Len() + bodyLength
+	out := make([]byte, 0, frameLengthSize+blockLengthSize+c.block.Len()+min(bodyLength, roomBehindHead))
 	out = binary.BigEndian.AppendUint32(out, uint32(size))
 	out = binary.BigEndian.AppendUint16(out, uint16(c.block.Len()))
-	out = append(out, c.block.Bytes()...)
-	return append(out, body...), nil
+	return append(out, c.block.Bytes()...), nil
 }
 
 // read decodes the next frame; it returns a goAwayError for one of length 0, and errWithdrawal for a
 // withdrawal.
-func (c *codec) read(r io.Reader) (Fields, []byte, error) {
+func (c *codec) read(r io.Reader) (Fields, body.Body, error) {
+	fields, length, err := c.readHead(r)
+	if err != nil {
+		return nil, body.Body{}, err
+	}
+	content, err := c.bodies.Read(r, length)
+	return fields, content, err
+}
+
+// readHead decodes the part of the next frame before its body, and returns the length of that. Its errors are
+// those of read.
+func (c *codec) readHead(r io.Reader) (fields Fields, bodyLength int, err error) {
 	var head [frameLengthSize]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return nil, nil, err
+		return nil, 0, err
 	}
 	size := binary.BigEndian.Uint32(head[:])
 	switch {
 	case size == 0:
-		return nil, nil, readGoAway(r)
+		return nil, 0, readGoAway(r)
 	case size == withdrawalSize:
 		if _, err := io.ReadFull(r, head[:withdrawalSize]); err != nil {
-			return nil, nil, err
+			return nil, 0, err
 		}
-		return nil, nil, errWithdrawal
+		return nil, 0, errWithdrawal
 	case size < blockLengthSize:
-		return nil, nil, errMalformed
+		return nil, 0, errMalformed
 	case size > maxFrame:
-		return nil, nil, errTooLarge
+		return nil, 0, errTooLarge
 	}
-	data, err := c.bodies.Read(r, int(size))
-	if err != nil {
-		return nil, nil, err
+	if _, err := io.ReadFull(r, head[:blockLengthSize]); err != nil {
+		return nil, 0, err
+	}
+	blockLength := int(binary.BigEndian.Uint16(head[:]))
+	bodyLength = int(size) - blockLengthSize - blockLength
+	if bodyLength < 0 {
+		return nil, 0, errMalformed
 	}
-	blockLength := int(binary.BigEndian.Uint16(data))
-	if blockLengthSize+blockLength > len(data) {
-		return nil, nil, errMalformed
+	block := make([]byte, blockLength)
+	if _, err := io.ReadFull(r, block); err != nil {
+		return nil, 0, err
 	}
-	fields, err := c.decoder.DecodeFull(data[blockLengthSize : blockLengthSize+blockLength])
+	fields, err = c.decoder.DecodeFull(block)
 	if err != nil {
-		return nil, nil, errors.Join(errMalformed, err)
+		return nil, 0, errors.Join(errMalformed, err)
 	}
-	return fields, data[blockLengthSize+blockLength:], nil
+	return fields, bodyLength, nil
 }
 
 // Request is a request from another node. The Fields of its msg.Request are not
@@ -251,6 +268,9 @@
 	// Withdrawn ends if the sending node withdraws the request: it is to be refused unless it
 	// has been passed on.
 	Withdrawn context.Context
+	// NoMemory says that this node had no memory for the body, which is empty then: the request is to be
+	// refused.
+	NoMemory bool
 }
 
 // Answer is a response from another node.
@@ -260,7 +280,7 @@
 	// Header holds all fields: those to forward, and those that the nodes add for
 	// each other.
 	Header Fields
-	Body   []byte
+	Body   body.Body
 }
 
 // requestFields returns the fields of a request and of extra header lines.
@@ -292,7 +312,7 @@
 
 // decodeRequest returns errMalformed for a request without a method or a path, or with a field that may
 // not stand in the head of a message.
-func decodeRequest(fields Fields, body []byte) (*Request, error) {
+func decodeRequest(fields Fields, content body.Body) (*Request, error) {
 	r := &Request{
 		Header: fields,
 		Request: msg.Request{
@@ -300,7 +320,7 @@
 			URI:     fields.Get(fieldPath),
 			Host:    fields.Get(fieldHost),
 			HasBody: fields.Get(fieldBody) != "",
-			Body:    body,
+			Body:    content,
 		},
 	}
 	if r.Method == "" || r.URI == "" || !fields.valid() {
@@ -311,7 +331,7 @@
 
 // decodeResponse returns errMalformed for a response whose status is not that of a final response, or
 // with a field that may not stand in the head of a message.
-func decodeResponse(fields Fields, body []byte) (*Answer, error) {
+func decodeResponse(fields Fields, content body.Body) (*Answer, error) {
 	status, err := strconv.Atoi(fields.Get(fieldStatus))
 	if err != nil || !head.ValidStatus(status) || !fields.valid() {
 		return nil, errors.Join(errMalformed, err)
@@ -319,6 +339,6 @@
 	return &Answer{
 		Status: status,
 		Header: fields,
-		Body:   body,
+		Body:   content,
 	}, nil
 }
--- a/internal/pipe/frame/frame_test.go
+++ b/internal/pipe/frame/frame_test.go
@@ -13,6 +13,8 @@
 	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"fuchsiapier/internal/pipe/accept"
+	"fuchsiapier/internal/pipe/body"
 	"fuchsiapier/internal/pipe/httpc"
 	"fuchsiapier/internal/pipe/msg"
 )
@@ -26,7 +28,7 @@
 		URI:     "/tide/" + id + "?q=1",
 		Host:    "h.example",
 		Fields:  []byte("User-Agent: sdk-client/1.9.3\r\nX-Id: " + id + "\r\n"),
-		Body:    []byte("body " + id),
+		Body:    body.Of([]byte("body " + id)),
 		HasBody: true,
 	}
 }
@@ -35,13 +37,13 @@
 	return &msg.Response{
 		Status: 201,
 		Fields: []byte("X-Proof: p" + r.Header.Get("x-id") + "\r\n"),
-		Body:   append([]byte(r.Method+" "+r.URI+" "+r.Host+" "), r.Body...),
+		Body:   body.Of(r.Body.AppendTo([]byte(r.Method + " " + r.URI + " " + r.Host + " "))),
 	}
 }
 
 func start(t *testing.T, h Handler) (*Server, *Client) {
 	t.Helper()
-	s, stop, err := Serve("127.0.0.1:0", h, testBodies(), zerolog.Nop(), "X-Id")
+	s, stop, err := Serve("127.0.0.1:0", h, accept.Unlimited(), zerolog.Nop(), "X-Id")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -76,7 +78,7 @@
 			a, err := do(c, id)
 			So(err, ShouldBeNil)
 			So(a.Status, ShouldEqual, 201)
-			So(string(a.Body), ShouldEqual, "POST /tide/"+id+"?q=1 h.example body "+id)
+			So(string(a.Body.Bytes()), ShouldEqual, "POST /tide/"+id+"?q=1 h.example body "+id)
 			So(string(a.Header.Lines()), ShouldEqual, "X-Proof: p"+id+"\r\n")
 		}
 		So(c.Dials(), ShouldEqual, 1)
@@ -87,7 +89,7 @@
 		})
 		a, err := do(c, "1")
 		So(err, ShouldBeNil)
-		So(string(a.Body), ShouldEqual, "quota|User-Agent: sdk-client/1.9.3\r\nX-Id: 1\r\n\n")
+		So(string(a.Body.Bytes()), ShouldEqual, "quota|User-Agent: sdk-client/1.9.3\r\nX-Id: 1\r\n\n")
 	})
 }
 
@@ -104,17 +106,17 @@
 	}
 	Convey("Fields that may not stand in a head are malformed", t, func() {
 		for _, f := range []Fields{field("X Id", "a"), field("", "a"), field("X-Id\x01", "a"), field("X-Id", "a\r\nX-Other: b"), field("X-Id", "a\x00")} {
-			_, err := decodeResponse(f, nil)
+			_, err := decodeResponse(f, body.Body{})
 			So(errors.Is(err, errMalformed), ShouldBeTrue)
-			_, err = decodeRequest(f, nil)
+			_, err = decodeRequest(f, body.Body{})
 			So(errors.Is(err, errMalformed), ShouldBeTrue)
 		}
-		_, err := decodeResponse(field("X-Id", "a\tb \xfc"), nil)
+		_, err := decodeResponse(field("X-Id", "a\tb \xfc"), body.Body{})
 		So(err, ShouldBeNil)
 	})
 	Convey("So are statuses that no final response has", t, func() {
 		for _, status := range []string{"0", "000", "100", "199", "600", "-200", "", "2x"} {
-			_, err := decodeResponse(Fields{{Name: fieldStatus, Value: status}}, nil)
+			_, err := decodeResponse(Fields{{Name: fieldStatus, Value: status}}, body.Body{})
 			So(errors.Is(err, errMalformed), ShouldBeTrue)
 		}
 	})
@@ -127,12 +129,12 @@
 		c := newCodec(testBodies(), "X-Id")
 		fields := func(id string) Fields {
 			r := request(id)
-			r.Body, r.HasBody = nil, false
+			r.Body, r.HasBody = body.Body{}, false
 			return requestFields(r, []byte("X-Fuchsia-Caller-Service: landings\r\n"))
 		}
-		first, err := c.append(fields("6366cff5387c3798"), nil)
+		first, err := c.appendHead(fields("6366cff5387c3798"), 0)
 		So(err, ShouldBeNil)
-		second, err := c.append(fields("7d0f6b9a55588a49"), nil)
+		second, err := c.appendHead(fields("7d0f6b9a55588a49"), 0)
 		So(err, ShouldBeNil)
 		text := request("7d0f6b9a55588a49").AppendHead(nil)
 		So(len(second), ShouldBeLessThan, len(text)/2)
@@ -212,23 +214,23 @@
 // FuzzRead guards against panics on frames from the network, and against accepting a
 // request without a method or path.
 func FuzzRead(f *testing.F) {
-	encoded, err := newCodec(testBodies()).append(requestFields(request("1"), nil), []byte("body"))
+	encoded, err := newCodec(testBodies()).appendHead(requestFields(request("1"), nil), len("body"))
 	if err != nil {
 		f.Fatal(err)
 	}
-	f.Add(encoded)
+	f.Add(append(encoded, "body"...))
 	f.Add([]byte{0, 0, 0, 0})
 	f.Add([]byte{0, 0, 0, 2, 0, 9})
 	f.Add([]byte(strings.Repeat("\xff", 16)))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		fields, body, err := newCodec(testBodies()).read(bytes.NewReader(data))
+		fields, content, err := newCodec(testBodies()).read(bytes.NewReader(data))
 		if err != nil {
 			return
 		}
-		if r, err := decodeRequest(fields, body); err == nil && (r.Method == "" || r.URI == "") {
+		if r, err := decodeRequest(fields, content); err == nil && (r.Method == "" || r.URI == "") {
 			t.Fatal("request without a method or path")
 		}
-		_, _ = decodeResponse(fields, body)
+		_, _ = decodeResponse(fields, content)
 	})
 }
 
--- a/internal/pipe/frame/goaway_test.go
+++ b/internal/pipe/frame/goaway_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"fuchsiapier/internal/pipe/accept"
 	"fuchsiapier/internal/pipe/httpc"
 	"fuchsiapier/internal/pipe/msg"
 )
@@ -66,10 +67,10 @@
 			Conn:   far,
 			resume: make(chan struct{}),
 		}
-		go s.serve(stalled)
+		go s.serve(accept.NewConn(stalled, accept.Unlimited()))
 		c := newCodec(testBodies())
 		send := func(id string) {
-			encoded, err := c.append(requestFields(request(id), nil), nil)
+			encoded, err := c.appendHead(requestFields(request(id), nil), 0)
 			So(err, ShouldBeNil)
 			_, err = near.Write(encoded)
 			So(err, ShouldBeNil)
@@ -101,7 +102,7 @@
 			s, stop, err := Serve("127.0.0.1:0", func(ctx context.Context, r *Request) *msg.Response {
 				ran.Store(r.Header.Get("x-id"), true)
 				return echo(ctx, r)
-			}, testBodies(), zerolog.Nop(), "X-Id")
+			}, accept.Unlimited(), zerolog.Nop(), "X-Id")
 			So(err, ShouldBeNil)
 			c := NewClient(s.Address(), nil, testBodies(), "X-Id")
 			var senders sync.WaitGroup
--- a/internal/pipe/frame/server.go
+++ b/internal/pipe/frame/server.go
@@ -14,8 +14,9 @@
 
 	"github.com/rs/zerolog"
 
+	"fuchsiapier/internal/base/budget"
 	"fuchsiapier/internal/pipe/accept"
-	"fuchsiapier/internal/pipe/httpc"
+	"fuchsiapier/internal/pipe/body"
 	"fuchsiapier/internal/pipe/msg"
 )
 
@@ -30,8 +31,13 @@
 	// lingerTimeout is how long a connection is read after a go away frame, unless the peer closes it:
 	// closing it with unread bytes would reset it before the peer has the frame.
 	lingerTimeout = 500 * time.Millisecond
+	// maxRefusals bounds the connections that are refused with a go away frame at a time.
+	maxRefusals = 64
 	// readBufferSize is a connection's read buffer, in bytes.
 	readBufferSize = 2 << 10
+	// requestBytes is the memory of a request without its body: its header and the connection to its target,
+	// in bytes.
+	requestBytes = 16 << 10
 )
 
 // Handler returns the response to a request. Its context ends when the requesting
@@ -40,8 +46,10 @@
 
 // Server serves the requests of other nodes. It is safe for concurrent use.
 type Server struct {
-	handler      Handler
-	bodies       *httpc.Bodies
+	handler Handler
+	budgets accept.Budgets
+	// refusals holds an entry for each connection that is being refused.
+	refusals     chan struct{}
 	neverIndexed []string
 	log          zerolog.Logger
 	listener     net.Listener
@@ -54,32 +62,47 @@
 }
 
 // Serve listens on an address (ip:port) and returns the server, and the function
-// that closes its listener and connections. bodies bounds the memory of frames that are
-// read. neverIndexed names response fields whose values never repeat.
-func Serve(address string, handler Handler, bodies *httpc.Bodies, log zerolog.Logger, neverIndexed ...string) (*Server, func(), error) {
+// that closes its listener and connections. budgets bound the connections and the memory of other nodes,
+// which includes their requests. neverIndexed names response fields whose values never repeat.
+func Serve(address string, handler Handler, budgets accept.Budgets, log zerolog.Logger, neverIndexed ...string) (*Server, func(), error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen for other nodes on %s: %w", address, err)
 	}
 	s := &Server{
 		handler:      handler,
-		bodies:       bodies,
+		budgets:      budgets,
+		refusals:     make(chan struct{}, maxRefusals),
 		neverIndexed: neverIndexed,
 		log:          log,
 		listener:     listener,
 		conns:        map[*serverConn]struct{}{},
 	}
-	go accept.Loop(listener, s.log, s.serve)
+	s.budgets.Refuse = s.refuse
+	go accept.Loop(listener, s.log, s.budgets, s.serve)
 	return s, s.close, nil
 }
 
+// refuse closes a connection for which there is no room. A go away frame says that nothing was read on it, so
+// that its peer can send the request elsewhere.
+func (s *Server) refuse(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	select {
+	case s.refusals <- struct{}{}:
+	default:
+		return
+	}
+	defer func() { <-s.refusals }()
+	goAway(c, 0)
+}
+
 // Address returns the address that the server listens on.
 func (s *Server) Address() string {
 	return s.listener.Addr().String()
 }
 
 // serve serves a connection until it ends.
-func (s *Server) serve(c net.Conn) {
+func (s *Server) serve(c *accept.Conn) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	sc := &serverConn{
@@ -88,7 +111,7 @@
 		cancel: cancel,
 		server: s,
 		reader: bufio.NewReaderSize(c, readBufferSize),
-		codec:  newCodec(s.bodies, s.neverIndexed...),
+		codec:  newCodec(nil, s.neverIndexed...),
 	}
 	s.mu.Lock()
 	s.conns[sc] = struct{}{}
@@ -96,6 +119,7 @@
 	sc.mu.Lock()
 	sc.updateReadDeadline()
 	sc.mu.Unlock()
+	c.AllowEviction(sc.evict)
 	sc.run()
 	s.mu.Lock()
 	delete(s.conns, sc)
@@ -151,9 +175,10 @@
 
 // serverConn is a connection from another node. One goroutine reads and another
 // handles requests, so that the end of the connection is noticed while a request is
-// being handled. Whether the connection is idle follows from the two counts alone.
+// being handled. Whether the connection is idle follows from the two counts alone. While no request is
+// pending, the connection may be taken back for others; a go away frame ends it then.
 type serverConn struct {
-	net.Conn
+	*accept.Conn
 	server *Server
 	reader *bufio.Reader
 	codec  *codec
@@ -167,10 +192,30 @@
 	answered uint64
 	// withdraw withdraws the request that has arrived last; nil before the first.
 	withdraw context.CancelFunc
-	// stopped is set once no further request is read since the server quiesces.
+	// evicted is set when the connection, or the memory of the request that arrives, was taken back.
+	evicted bool
+	// stopped is set once no further request is read since the server quiesces or the connection was
+	// taken back.
 	stopped bool
 }
 
+// evict is called when the connection, or the memory of the request that arrives, is needed for others: it
+// ends the read in progress.
+func (c *serverConn) evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evicted = true
+	_ = c.SetReadDeadline(time.Now())
+}
+
+// stopIfEvicted reports whether the connection was taken back; no further request is read then.
+func (c *serverConn) stopIfEvicted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = c.stopped || c.evicted
+	return c.evicted
+}
+
 // run serves requests until the connection ends or the server quiesces. A go away frame follows
 // the last response then.
 func (c *serverConn) run() {
@@ -182,15 +227,16 @@
 	for r := range requests {
 		resp := c.callHandler(c.ctx, r)
 		if resp == nil || !c.write(resp) {
-			_ = c.Close()
+			_ = c.Conn.Conn.Close()
 		}
+		r.Body.Release()
 		c.countAnswered()
 	}
 	c.mu.Lock()
 	stopped, read := c.stopped, c.read
 	c.mu.Unlock()
 	if stopped {
-		c.goAway(read)
+		goAway(c.Conn.Conn, read)
 	}
 }
 
@@ -202,10 +248,12 @@
 		if !c.beginRequest(err) {
 			return
 		}
-		r, err := c.readRequest()
+		r, err := c.readWithin()
 		switch {
 		case errors.Is(err, errWithdrawal):
 			c.withdrawLast()
+		case c.stopIfEvicted():
+			return
 		case err != nil:
 			c.cancel()
 			return
@@ -227,7 +275,7 @@
 	case err != nil && !interrupted:
 		c.cancel()
 		return false
-	case c.server.isQuiescing():
+	case c.server.isQuiescing() || c.evicted:
 		c.stopped = true
 		return false
 	case err != nil:
@@ -235,21 +283,65 @@
 		return false
 	}
 	c.arriving = true
+	c.Progressed()
 	_ = c.SetReadDeadline(time.Now().Add(readTimeout))
 	return true
 }
 
-// readRequest reads a request whose first byte has arrived.
-func (c *serverConn) readRequest() (*Request, error) {
-	fields, body, err := c.codec.read(c.reader)
+// readWithin reads a request within the budget of memory. The body of one for which there is no memory is
+// dropped.
+func (c *serverConn) readWithin() (*Request, error) {
+	share := c.server.budgets.Memory.Open(budget.Nodes)
+	share.AllowEviction(c.evict)
+	r, rest, err := c.readRequest(share)
+	if !share.ForbidEviction() || err == nil && !c.ForbidEviction() {
+		c.evict()
+	}
+	if err == nil && !r.NoMemory && !c.isEvicted() {
+		r.Body = r.Body.WithShare(share)
+		return r, nil
+	}
+	share.Release()
+	if err == nil {
+		_, err = io.Copy(io.Discard, rest)
+	}
+	return r, err
+}
+
+func (c *serverConn) isEvicted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evicted
+}
+
+// readRequest reads a request whose first byte has arrived, and whose memory is added to a share. rest is what
+// is left of the body where there is no memory for it.
+func (c *serverConn) readRequest(share *budget.Share) (r *Request, rest io.Reader, err error) {
+	fields, length, err := c.codec.readHead(c.reader)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
+	}
+	rest = io.LimitReader(c.reader, int64(length))
+	content, err := c.readBody(rest, length, share)
+	noMemory := errors.Is(err, body.ErrNoMemory) && !errors.Is(err, budget.ErrEvicted)
+	if err != nil && !noMemory {
+		return nil, nil, err
 	}
-	r, err := decodeRequest(fields, body)
+	r, err = decodeRequest(fields, content)
 	if err != nil {
 		c.server.log.Warn().Err(err).Str("from", c.RemoteAddr().String()).Msg("malformed request from node")
+		return nil, nil, err
 	}
-	return r, err
+	r.NoMemory = noMemory
+	return r, rest, nil
+}
+
+// readBody reads the body of a request, whose memory, like that of the request itself, is added to a share.
+func (c *serverConn) readBody(r io.Reader, length int, share *budget.Share) (body.Body, error) {
+	if err := share.Grow(requestBytes); err != nil {
+		return body.Body{}, errors.Join(body.ErrNoMemory, err)
+	}
+	return body.Read(r, length, maxFrame, share)
 }
 
 // countRead counts a request that has arrived.
@@ -260,6 +352,7 @@
 	r.Withdrawn, c.withdraw = context.WithCancel(context.Background())
 	c.arriving = false
 	c.read++
+	c.ForbidEviction()
 	c.updateReadDeadline()
 }
 
@@ -280,6 +373,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.answered++
+	if c.read == c.answered {
+		c.AllowEviction(c.evict)
+	}
 	c.updateReadDeadline()
 }
 
@@ -287,7 +383,7 @@
 // pending, since the end of the connection is then awaited. c.mu must be held.
 func (c *serverConn) updateReadDeadline() {
 	switch {
-	case c.arriving:
+	case c.arriving, c.evicted:
 	case c.read > c.answered:
 		_ = c.SetReadDeadline(time.Time{})
 	case c.server.isQuiescing():
@@ -297,18 +393,18 @@
 	}
 }
 
-// goAway says that nothing further is read, and how many requests were, and waits until the peer
+// goAway says that nothing further is read on a connection, and how many requests were, and waits until the peer
 // closes the connection.
-func (c *serverConn) goAway(read uint64) {
+func goAway(c net.Conn, read uint64) {
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := c.Write(appendGoAway(nil, read)); err != nil {
 		return
 	}
-	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+	if t, ok := c.(interface{ CloseWrite() error }); ok {
 		_ = t.CloseWrite()
 	}
 	_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.Copy(io.Discard, c.Conn)
+	_, _ = io.Copy(io.Discard, c)
 }
 
 // callHandler calls the handler and recovers from a panic in it; the response is
@@ -325,18 +421,18 @@
 
 // write sends a response and reports whether that succeeded.
 func (c *serverConn) write(resp *msg.Response) bool {
+	defer resp.Body.Release()
 	fields := parseLines(Fields{
 		{
 			Name:  fieldStatus,
 			Value: strconv.Itoa(resp.Status),
 		},
 	}, resp.Fields)
-	encoded, err := c.codec.append(fields, resp.Body)
+	encoded, err := c.codec.appendHead(fields, resp.Body.Len())
 	if err != nil {
 		c.server.log.Warn().Err(err).Msg("response encoding failed")
 		return false
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err = c.Write(encoded)
-	return err == nil
+	return resp.Body.WriteTo(c.Conn.Conn, encoded) == nil
 }
--- a/internal/pipe/frame/withdrawal_test.go
+++ b/internal/pipe/frame/withdrawal_test.go
@@ -7,6 +7,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"fuchsiapier/internal/pipe/msg"
+
+	"fuchsiapier/internal/pipe/accept"
 )
 
 // TestWithdrawal guards against a request that its sender withdraws and that goes on waiting, since the
@@ -64,12 +66,12 @@
 	Convey("A withdrawal without a request, or after its response, changes nothing", t, func() {
 		s, _ := start(t, echo)
 		near, far := pair(t)
-		go s.serve(far)
+		go s.serve(accept.NewConn(far, accept.Unlimited()))
 		c := newCodec(testBodies())
 		for _, id := range []string{"1", "2"} {
 			_, err := near.Write(withdrawal)
 			So(err, ShouldBeNil)
-			encoded, err := c.append(requestFields(request(id), nil), nil)
+			encoded, err := c.appendHead(requestFields(request(id), nil), 0)
 			So(err, ShouldBeNil)
 			_, err = near.Write(encoded)
 			So(err, ShouldBeNil)
--- a/internal/pipe/httpc/bodies.go
+++ b/internal/pipe/httpc/bodies.go
@@ -5,44 +5,54 @@
 	"errors"
 	"io"
 	"net/http/httputil"
-	"sync/atomic"
 
+	"fuchsiapier/internal/base/budget"
+	"fuchsiapier/internal/pipe/body"
 	"fuchsiapier/internal/pipe/head"
 )
 
-const (
-	// bodyStep is how many bytes are reserved for a body at first; the reservation doubles
-	// as the body arrives. The length that a peer claims reserves nothing: a faulty one may
-	// claim any.
-	bodyStep = 32 << 10
-	// defaultBodies bounds the bodies of a client that shares no Bodies with others.
-	defaultBodies = 64 << 20
-)
+// defaultBodies bounds the bodies of a client that shares no Bodies with others, in bytes.
+const defaultBodies = 64 << 20
 
 // Errors of Bodies.
 var (
 	// ErrBodyTooLarge means that a body is longer than a single one may be.
 	ErrBodyTooLarge = errors.New("body exceeds the limit")
-	// ErrBodiesFull means that the bodies that are being read use all memory reserved
-	// for them.
-	ErrBodiesFull = errors.New("bodies being read exceed their memory limit")
+	// ErrBodiesFull means that other bodies use all memory.
+	ErrBodiesFull = errors.New("bodies exceed their memory limit")
 )
 
-// Bodies bounds the memory of message bodies while they are read, so that peers that send
+// Bodies bounds the memory of the message bodies that are read, so that peers that send
 // without end can't exhaust it. It is safe for concurrent use.
 type Bodies struct {
-	each int
-	left atomic.Int64
+	// each is the longest body, 0 for one that follows from the budget.
+	each   int
+	memory *budget.Budget
 }
 
-// NewBodies returns a bound of total bytes for all bodies that are read at a time, of which
+// NewBodies returns a bound of total bytes for all bodies at a time, of which
 // a single one may have up to each.
 func NewBodies(total, each int) *Bodies {
-	b := &Bodies{
-		each: each,
+	return &Bodies{
+		each:   each,
+		memory: budget.New(int64(total)),
+	}
+}
+
+// NewBodiesWithin returns a bound by a budget of memory that others use as well; a single body may have up
+// to half of what one of them may.
+func NewBodiesWithin(memory *budget.Budget) *Bodies {
+	return &Bodies{
+		memory: memory,
+	}
+}
+
+// limit returns the longest body, in bytes.
+func (b *Bodies) limit() int {
+	if b.each > 0 {
+		return b.each
 	}
-	b.left.Store(int64(total))
-	return b
+	return int(b.memory.Largest() / 2)
 }
 
 // Values of fasthttp's content length for a response without Content-Length: a chunked
@@ -54,53 +64,33 @@
 
 // ReadBody reads the body of a response with a content length as fasthttp tells it, with the trailer
 // of a chunked one, which is dropped.
-func (b *Bodies) ReadBody(r *bufio.Reader, length int) ([]byte, error) {
+func (b *Bodies) ReadBody(r *bufio.Reader, length int) (body.Body, error) {
 	if length != Chunked {
 		return b.Read(r, length)
 	}
-	body, err := b.Read(httputil.NewChunkedReader(r), length)
+	content, err := b.Read(httputil.NewChunkedReader(r), length)
 	if err != nil {
-		return nil, err
+		return body.Body{}, err
 	}
-	return body, head.ReadTrailer(r)
+	return content, head.ReadTrailer(r)
 }
 
-// Read reads exactly n bytes or, if n is negative, up to the end of r.
-func (b *Bodies) Read(r io.Reader, n int) ([]byte, error) {
-	if n > b.each {
-		return nil, ErrBodyTooLarge
+// Read reads exactly n bytes or, if n is negative, up to the end of r. The body uses memory until it is
+// released.
+func (b *Bodies) Read(r io.Reader, n int) (body.Body, error) {
+	if n == 0 {
+		return body.Body{}, nil
 	}
-	reserved := 0
-	defer func() { b.left.Add(int64(reserved)) }()
-	var body []byte
-	for n < 0 || len(body) < n {
-		if len(body) >= b.each {
-			return nil, ErrBodyTooLarge
-		}
-		if len(body) == reserved {
-			step := min(max(bodyStep, reserved), b.each-reserved)
-			reserved += step
-			if b.left.Add(-int64(step)) < 0 {
-				return nil, ErrBodiesFull
-			}
-			body = append(make([]byte, 0, reserved), body...)
-		}
-		end := reserved
-		if n >= 0 {
-			end = min(end, n)
-		}
-		got, err := r.Read(body[len(body):end])
-		body = body[:len(body)+got]
-		switch {
-		case n >= 0 && len(body) == n:
-			return body, nil
-		case n < 0 && errors.Is(err, io.EOF):
-			return body, nil
-		case errors.Is(err, io.EOF):
-			return nil, io.ErrUnexpectedEOF
-		case err != nil:
-			return nil, err
-		}
+	share := b.memory.Open(budget.Answers)
+	content, err := body.Read(r, max(n, body.ToEnd), b.limit(), share)
+	switch {
+	case err == nil:
+		return content.WithShare(share), nil
+	case errors.Is(err, body.ErrTooLarge):
+		err = ErrBodyTooLarge
+	case errors.Is(err, body.ErrNoMemory):
+		err = errors.Join(ErrBodiesFull, err)
 	}
-	return body, nil
+	share.Release()
+	return body.Body{}, err
 }
--- a/internal/pipe/httpc/endless_test.go
+++ b/internal/pipe/httpc/endless_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"fuchsiapier/internal/pipe/body"
 )
 
 // endlessServer answers each request with a head and then sends a text again and again
@@ -111,21 +113,27 @@
 			So(len(p.idle), ShouldEqual, 0)
 		})
 	}
-	Convey("Bodies that are read at once share one limit, which is free again afterwards", t, func() {
-		b := NewBodies(2*bodyStep, 2*bodyStep)
+	Convey("Bodies share one limit from their first byte until they are released", t, func() {
+		const step = 32 << 10
+		b := NewBodies(2*step, 2*step)
 		r, w := io.Pipe()
 		done := make(chan error, 1)
+		var first body.Body
 		go func() {
-			_, err := b.Read(r, 2*bodyStep)
+			var err error
+			first, err = b.Read(r, 2*step)
 			done <- err
 		}()
-		_, _ = w.Write(make([]byte, bodyStep+1))
+		_, _ = w.Write(make([]byte, step+1))
 		_, err := b.Read(strings.NewReader(line), len(line))
 		So(errors.Is(err, ErrBodiesFull), ShouldBeTrue)
-		_, _ = w.Write(make([]byte, bodyStep-1))
+		_, _ = w.Write(make([]byte, step-1))
 		So(<-done, ShouldBeNil)
-		body, err := b.Read(strings.NewReader(line), len(line))
+		_, err = b.Read(strings.NewReader(line), len(line))
+		So(errors.Is(err, ErrBodiesFull), ShouldBeTrue)
+		first.Release()
+		next, err := b.Read(strings.NewReader(line), len(line))
 		So(err, ShouldBeNil)
-		So(string(body), ShouldEqual, line)
+		So(string(next.Bytes()), ShouldEqual, line)
 	})
 }
--- a/internal/pipe/httpc/malformed_test.go
+++ b/internal/pipe/httpc/malformed_test.go
@@ -95,7 +95,7 @@
 		a, keep, err := p.readResponse(c, "GET")
 		So(err, ShouldBeNil)
 		So(keep, ShouldBeTrue)
-		So(string(a.Body), ShouldEqual, "ok")
+		So(string(a.Body.Bytes()), ShouldEqual, "ok")
 		So(string(a.Fields), ShouldNotContainSubstring, "Sum")
 	})
 }
@@ -125,13 +125,13 @@
 		if err != nil {
 			return
 		}
-		read, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(a.Append(nil, true))), &http.Request{Method: http.MethodGet})
+		read, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(a.Body.AppendTo(a.AppendHead(nil, true)))), &http.Request{Method: http.MethodGet})
 		if err != nil {
 			t.Fatalf("passed on, not readable: %v", err)
 		}
 		body, err := io.ReadAll(read.Body)
-		if err != nil || read.StatusCode != a.Status || !bytes.Equal(body, a.Body) {
-			t.Fatalf("passed on as %d %q, %v, not as %d %q", read.StatusCode, body, err, a.Status, a.Body)
+		if err != nil || read.StatusCode != a.Status || !bytes.Equal(body, a.Body.Bytes()) {
+			t.Fatalf("passed on as %d %q, %v, not as %d %q", read.StatusCode, body, err, a.Status, a.Body.Bytes())
 		}
 		if a.Status < 200 || a.Status > 599 {
 			t.Fatalf("status %d", a.Status)
--- a/internal/pipe/httpc/pool.go
+++ b/internal/pipe/httpc/pool.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
+	"fuchsiapier/internal/pipe/body"
 	"fuchsiapier/internal/pipe/head"
 	"fuchsiapier/internal/pipe/msg"
 )
@@ -193,9 +194,14 @@
 // echo it; responses to earlier requests are skipped. Each error matches one of
 // ErrNotSent, ErrRefused, ErrResponseLost and ErrContextDone.
 func (p *Pool) Do(ctx context.Context, encoded []byte, method, attempt string) (*Answer, error) {
+	return p.DoWithBody(ctx, encoded, body.Body{}, method, attempt)
+}
+
+// DoWithBody is like Do, with a request whose body follows its encoded head.
+func (p *Pool) DoWithBody(ctx context.Context, encoded []byte, content body.Body, method, attempt string) (*Answer, error) {
 	var resp *Answer
 	err := p.Exchange(ctx, func(c *Conn) (keep bool, err error) {
-		resp, keep, err = p.exchange(c, encoded, method, attempt)
+		resp, keep, err = p.exchange(c, encoded, content, method, attempt)
 		return keep, err
 	})
 	if err != nil {
@@ -263,8 +269,8 @@
 }
 
 // exchange sends a request and reads responses until one echoes attempt.
-func (p *Pool) exchange(c *Conn, encoded []byte, method, attempt string) (resp *Answer, keep bool, err error) {
-	if _, err := c.Write(encoded); err != nil {
+func (p *Pool) exchange(c *Conn, encoded []byte, content body.Body, method, attempt string) (resp *Answer, keep bool, err error) {
+	if err := content.WriteTo(c.Conn, encoded); err != nil {
 		return nil, false, errors.Join(ErrResponseLost, err)
 	}
 	for range maxStale + 1 {
@@ -276,6 +282,7 @@
 		if attempt == "" || echoed == attempt {
 			return resp, keep && c.Reader.Buffered() == 0, nil
 		}
+		resp.Body.Release()
 	}
 	return nil, false, errors.Join(ErrResponseLost, errors.New("responses belong to other requests"))
 }
@@ -331,7 +338,7 @@
 
 // readBody reads a complete body. A body that ends with the connection is complete
 // if the peer closed the connection in order (FIN), not if it reset it.
-func (p *Pool) readBody(r *bufio.Reader, h *fasthttp.ResponseHeader) ([]byte, error) {
+func (p *Pool) readBody(r *bufio.Reader, h *fasthttp.ResponseHeader) (body.Body, error) {
 	return p.bodies.ReadBody(r, h.ContentLength())
 }
 
--- a/internal/pipe/httpc/pool_test.go
+++ b/internal/pipe/httpc/pool_test.go
@@ -75,7 +75,7 @@
 			a, err := do(newPool(startScripted(t, resp)), "a")
 			So(err, ShouldBeNil)
 			So(a.Status, ShouldEqual, 200)
-			So(string(a.Body), ShouldEqual, "ok")
+			So(string(a.Body.Bytes()), ShouldEqual, "ok")
 		}
 	})
 	Convey("Truncated and malformed responses are reported as lost", t, func() {
@@ -100,7 +100,7 @@
 		p := newPool(startScripted(t, stale+okResponse))
 		a, err := do(p, "a")
 		So(err, ShouldBeNil)
-		So(string(a.Body), ShouldEqual, "ok")
+		So(string(a.Body.Bytes()), ShouldEqual, "ok")
 	})
 	Convey("A connection with bytes after the response is not reused", t, func() {
 		p := newPool(startScripted(t, okResponse+"extra", okResponse))
--- a/internal/pipe/httpd/conn.go
+++ b/internal/pipe/httpd/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -14,15 +13,19 @@
 
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapier/internal/base/budget"
+	"fuchsiapier/internal/pipe/accept"
+	"fuchsiapier/internal/pipe/body"
 	"fuchsiapier/internal/pipe/head"
 	"fuchsiapier/internal/pipe/httpc"
 	"fuchsiapier/internal/pipe/msg"
 )
 
 // conn is a connection of a caller. One goroutine reads requests; each request is
-// handled on a goroutine of its own.
+// handled on a goroutine of its own. While no request is pending, the connection may be
+// taken back for others; while one arrives, so may its memory.
 type conn struct {
-	net.Conn
+	*accept.Conn
 	server *Server
 	r      *bufio.Reader
 	ctx    context.Context
@@ -41,9 +44,13 @@
 	// ended is set by a response that closes the connection; nothing read after it
 	// is handled.
 	ended bool
+	// evicted is set when the connection, or the memory of the request that arrives, was taken back.
+	evicted bool
+	// rejecting is set once the last request was rejected: the connection then ends anyway.
+	rejecting bool
 }
 
-func newConn(s *Server, c net.Conn) *conn {
+func newConn(s *Server, c *accept.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	written := make(chan struct{})
 	close(written)
@@ -72,6 +79,7 @@
 // cancels the context of those pending once the caller has gone.
 func (c *conn) read() {
 	defer c.cancel()
+	c.AllowEviction(c.evict)
 	for {
 		c.updateReadDeadline()
 		if _, err := c.r.Peek(1); err != nil {
@@ -81,11 +89,7 @@
 			c.discard()
 			return
 		}
-		req, failure := c.readRequest()
-		if failure == nil && req != nil && c.server.isQuiescing() {
-			fasthttp.ReleaseRequest(req)
-			failure = msg.Plain(fasthttp.StatusServiceUnavailable, "not run: the node is stopping").WithRetryAfter(stoppingRetryAfter)
-		}
+		req, failure := c.readWithin()
 		if failure != nil {
 			c.rejectRequest(failure)
 			return
@@ -96,13 +100,90 @@
 		c.slots <- struct{}{}
 		if !c.startRequest(req) {
 			<-c.slots
-			fasthttp.ReleaseRequest(req)
+			req.release()
+			if c.isEvicted() {
+				c.rejectRequest(noMemory())
+				return
+			}
 			c.discard()
 			return
 		}
 	}
 }
 
+// evict is called when the connection, or the memory of the request that arrives, is needed for others: it
+// ends the read in progress.
+func (c *conn) evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rejecting {
+		return
+	}
+	c.evicted = true
+	_ = c.SetReadDeadline(time.Now())
+}
+
+// setReadDeadline sets the deadline of the read in progress, unless it was ended by evict.
+func (c *conn) setReadDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.evicted {
+		_ = c.SetReadDeadline(t)
+	}
+}
+
+func (c *conn) isEvicted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evicted
+}
+
+// arrival is a request that was read completely, with the share of memory that it uses.
+type arrival struct {
+	*fasthttp.Request
+	body  body.Body
+	share *budget.Share
+}
+
+// release gives back what the request uses.
+func (a *arrival) release() {
+	fasthttp.ReleaseRequest(a.Request)
+	a.share.Release()
+}
+
+// readWithin reads a complete request within the budget of memory. failure is the response to a request that
+// isn't handled: one that can't be read, or for which there is no memory, or that comes as the server stops.
+// Both results are nil where the caller disconnected.
+func (c *conn) readWithin() (a *arrival, failure *msg.Response) {
+	share := c.server.budgets.Memory.Open(budget.Callers)
+	share.AllowEviction(c.evict)
+	a, failure = c.readRequest(share)
+	if !share.ForbidEviction() || c.isEvicted() {
+		failure = noMemory()
+	}
+	if failure != nil && failure.Status == fasthttp.StatusServiceUnavailable {
+		c.server.refusalLog.Warn().Str("from", c.RemoteAddr().String()).Str("reason", "no-memory").Bool("evicted", c.isEvicted()).
+			Int64("held-bytes", share.Held()).Msg("request refused before it was read")
+	}
+	if failure == nil && a != nil && c.server.isQuiescing() {
+		failure = msg.Plain(fasthttp.StatusServiceUnavailable, "not run: the node is stopping").WithRetryAfter(stoppingRetryAfter)
+	}
+	switch {
+	case failure == nil && a != nil:
+		return a, nil
+	case a != nil:
+		a.release()
+	default:
+		share.Release()
+	}
+	return nil, failure
+}
+
+// noMemory returns the response to a request for which the node has no memory, or no connection, left.
+func noMemory() *msg.Response {
+	return msg.Plain(fasthttp.StatusServiceUnavailable, "not run: the node is short of memory or connections").WithRetryAfter(noMemoryRetryAfter)
+}
+
 // beginRequest is called when the first byte of a request has arrived, and reports whether the request
 // is read. None is behind one whose response closes the connection: the caller sends it again. While the
 // server drains, that is the last one that was pending, so that callers which always have several
@@ -114,6 +195,7 @@
 		return false
 	}
 	c.reading = true
+	c.Progressed()
 	return true
 }
 
@@ -130,6 +212,7 @@
 // pending. While a request arrives, readRequest sets it. c.mu must be held.
 func (c *conn) updateReadDeadlineLocked() {
 	switch {
+	case c.evicted && !c.rejecting:
 	case c.ended:
 		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
 	case c.reading:
@@ -156,30 +239,53 @@
 	_, _ = io.Copy(io.Discard, c.r)
 }
 
-// readRequest reads a complete request. failure is the response to a request that
-// can't be read, such as one that is malformed, too large or too slow. Both results
+// readRequest reads a complete request, whose memory is added to a share. failure is the response to a request
+// that can't be read, such as one that is malformed, too large or too slow. Both results
 // are nil where the caller disconnected.
-func (c *conn) readRequest() (req *fasthttp.Request, failure *msg.Response) {
+func (c *conn) readRequest(share *budget.Share) (a *arrival, failure *msg.Response) {
 	limits := c.server.currentLimits()
-	_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
-	req = fasthttp.AcquireRequest()
+	if err := share.Grow(requestBytes); err != nil {
+		return nil, noMemory()
+	}
+	c.setReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	req := fasthttp.AcquireRequest()
 	req.Header.SetNoDefaultContentType(true)
 	if err := c.readHeader(req, limits.HeaderBytes); err != nil {
 		fasthttp.ReleaseRequest(req)
 		return nil, headerFailure(err)
 	}
-	_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if req.MayContinue() {
-		if _, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+	if n := len(req.Header.RawHeaders()); n > smallHeader {
+		if err := share.Grow(int64(headerCopies * n)); err != nil {
 			fasthttp.ReleaseRequest(req)
-			return nil, nil
+			return nil, noMemory()
 		}
 	}
-	if err := c.readBody(req, limits.BodyBytes); err != nil {
+	c.setReadDeadline(time.Now().Add(bodyTimeout))
+	content, err := c.readBody(req, limits.BodyBytes, share)
+	if err != nil {
 		fasthttp.ReleaseRequest(req)
 		return nil, bodyFailure(err)
 	}
-	return req, nil
+	return &arrival{
+		Request: req,
+		body:    content.WithShare(share),
+		share:   share,
+	}, nil
+}
+
+// confirmExpectation sends the interim response (100 Continue) that a caller may wait for before it sends the
+// body. It comes behind the responses to the requests before.
+func (c *conn) confirmExpectation(req *fasthttp.Request) error {
+	if !req.MayContinue() {
+		return nil
+	}
+	c.mu.Lock()
+	previous := c.lastWritten
+	c.mu.Unlock()
+	<-previous
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	return err
 }
 
 // readHeader reads a valid header of at most limit bytes, or of the read buffer's size if
@@ -187,6 +293,9 @@
 func (c *conn) readHeader(req *fasthttp.Request, limit int) error {
 	err := head.PeekRequest(c.r)
 	if isTooLong(err) && c.r.Size() < limit {
+		if err := c.Grow(int64(limit)); err != nil {
+			return err
+		}
 		c.r = bufio.NewReaderSize(c.r, limit)
 		err = head.PeekRequest(c.r)
 	}
@@ -205,20 +314,24 @@
 	return errors.As(err, &malformed) && malformed.Reason == head.TooLong
 }
 
-// readBody reads the body of a request. Fields behind a chunked body are checked and dropped.
-func (c *conn) readBody(req *fasthttp.Request, limit int) error {
-	if req.Header.ContentLength() != httpc.Chunked {
-		return req.ContinueReadBody(c.r, limit, false)
+// readBody reads the body of a request. Fields behind a chunked body are checked and dropped. Nothing is
+// reserved for the length that a request announces.
+func (c *conn) readBody(req *fasthttp.Request, limit int, share *budget.Share) (body.Body, error) {
+	length := req.Header.ContentLength()
+	if length > limit {
+		return body.Body{}, body.ErrTooLarge
 	}
-	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(c.r), int64(limit)+1))
-	switch {
-	case err != nil:
-		return err
-	case len(body) > limit:
-		return fasthttp.ErrBodyTooLarge
+	if err := c.confirmExpectation(req); err != nil {
+		return body.Body{}, err
+	}
+	if length != httpc.Chunked {
+		return body.Read(c.r, max(length, 0), limit, share)
 	}
-	req.SetBodyRaw(body)
-	return head.ReadTrailer(c.r)
+	content, err := body.Read(httputil.NewChunkedReader(c.r), body.ToEnd, limit, share)
+	if err != nil {
+		return body.Body{}, err
+	}
+	return content, head.ReadTrailer(c.r)
 }
 
 // headerFailure returns the response to a header that can't be read, nil where the
@@ -226,6 +339,8 @@
 func headerFailure(err error) *msg.Response {
 	var ne net.Error
 	switch {
+	case errors.Is(err, budget.ErrShort), errors.Is(err, budget.ErrEvicted), errors.Is(err, budget.ErrTooLarge):
+		return noMemory()
 	case errors.Is(err, errHeaderTooLarge):
 		return msg.Plain(fasthttp.StatusRequestHeaderFieldsTooLarge, "header too large; send fewer or shorter fields")
 	case errors.As(err, &ne) && ne.Timeout():
@@ -241,8 +356,12 @@
 func bodyFailure(err error) *msg.Response {
 	var ne net.Error
 	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.Is(err, body.ErrTooLarge):
 		return msg.Plain(fasthttp.StatusRequestEntityTooLarge, "body too large")
+	case errors.Is(err, budget.ErrTooLarge):
+		return msg.Plain(fasthttp.StatusRequestEntityTooLarge, "body too large for the memory of this node")
+	case errors.Is(err, body.ErrNoMemory):
+		return noMemory()
 	case errors.As(err, &ne) && ne.Timeout():
 		return msg.Plain(fasthttp.StatusRequestTimeout, "body took too long")
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isConnError(err):
@@ -259,11 +378,12 @@
 }
 
 // startRequest starts handling a request; it returns false where an earlier response
-// has closed the connection.
-func (c *conn) startRequest(req *fasthttp.Request) bool {
+// has closed the connection, or it was taken back.
+func (c *conn) startRequest(a *arrival) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended {
+	if c.ended || c.evicted || !c.ForbidEviction() {
+		c.evicted = !c.ended
 		return false
 	}
 	c.pending++
@@ -274,25 +394,26 @@
 	done := make(chan struct{})
 	c.lastWritten = done
 	_ = c.SetReadDeadline(time.Time{})
-	go c.handle(req, previous, done)
+	go c.handle(a, previous, done)
 	return true
 }
 
 // handle runs the handler for a request and writes the response once previous is
 // closed, that is once the response to the request before has been written. It closes
 // done afterwards.
-func (c *conn) handle(req *fasthttp.Request, previous, done chan struct{}) {
+func (c *conn) handle(a *arrival, previous, done chan struct{}) {
 	defer func() { <-c.slots }()
 	defer close(done)
-	defer fasthttp.ReleaseRequest(req)
+	defer a.release()
 	defer c.server.addPending(-1)
+	req := a.Request
 	in := &Inbound{
 		Request: msg.Request{
 			Method:  string(req.Header.Method()),
 			URI:     string(req.Header.RequestURI()),
 			Host:    string(req.Header.Host()),
-			Body:    bytes.Clone(req.Body()),
-			HasBody: req.Header.ContentLength() != lengthUnset,
+			Body:    a.body,
+			HasBody: hasBody(req),
 		},
 		Header:  &req.Header,
 		Arrived: time.Now(),
@@ -302,6 +423,12 @@
 	c.writeResponse(resp, in.Method, req.Header.ConnectionClose())
 }
 
+// hasBody reports whether a request has a body, even an empty one: requests other than GET and HEAD always
+// have.
+func hasBody(req *fasthttp.Request) bool {
+	return req.Header.ContentLength() != lengthUnset || !req.Header.IsGet() && !req.Header.IsHead()
+}
+
 // callHandler calls the handler and recovers from a panic in it, so that one request
 // can't end the process; the response is then 502.
 func (c *conn) callHandler(in *Inbound) (resp *msg.Response) {
@@ -326,13 +453,16 @@
 		c.ended = true
 	}
 	c.mu.Unlock()
+	if resp != nil {
+		defer resp.Body.Release()
+	}
 	if alreadyEnded {
 		return
 	}
 	if resp != nil {
 		resp.Bodyless = resp.Bodyless || method == fasthttp.MethodHead
 		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := c.Write(resp.Append(nil, !closes)); err != nil {
+		if err := resp.WriteTo(c.Conn.Conn, !closes, c.closeUnread); err != nil {
 			c.cancel()
 			_ = c.Close()
 			return
@@ -355,13 +485,19 @@
 	c.pending--
 	if c.pending == 0 {
 		c.updateReadDeadlineLocked()
+		c.AllowEviction(c.evict)
 	}
 }
 
+// closeUnread closes a connection whose caller does not read a response, as memory is needed for others.
+func (c *conn) closeUnread() {
+	_ = c.Conn.Conn.Close()
+}
+
 // closeWrite closes the sending side of the connection; the caller's bytes are still
 // read.
 func (c *conn) closeWrite() {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+	if t, ok := c.Conn.Conn.(*net.TCPConn); ok {
 		_ = t.CloseWrite()
 		return
 	}
@@ -369,22 +505,37 @@
 }
 
 // rejectRequest writes the response to a request that can't be read, after the
-// responses to those before it, and closes the connection.
+// responses to those before it, and closes the connection. What arrives meanwhile is dropped, so that it
+// does not wait in the socket.
 func (c *conn) rejectRequest(failure *msg.Response) {
 	c.mu.Lock()
-	previous := c.lastWritten
-	c.mu.Unlock()
-	<-previous
-	if c.isEnded() {
+	if c.ended {
+		c.mu.Unlock()
+		c.discard()
 		return
 	}
-	c.mu.Lock()
+	c.rejecting = true
 	c.pending++
 	c.undecided++
 	c.reading = false
+	previous, done := c.lastWritten, make(chan struct{})
+	c.lastWritten = done
+	first := c.pending == 1
 	c.mu.Unlock()
 	c.server.addPending(1)
-	c.writeResponse(failure, "", true)
-	c.server.addPending(-1)
+	write := func() {
+		defer close(done)
+		defer c.server.addPending(-1)
+		<-previous
+		c.writeResponse(failure, "", true)
+	}
+	if first {
+		write()
+		c.discard()
+		return
+	}
+	go write()
 	c.discard()
+	c.cancel()
+	<-done
 }
--- a/internal/pipe/httpd/drain_test.go
+++ b/internal/pipe/httpd/drain_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"fuchsiapier/internal/pipe/accept"
 	"fuchsiapier/internal/pipe/msg"
 )
 
@@ -163,7 +164,7 @@
 			Conn:   far,
 			resume: make(chan struct{}),
 		}
-		go s.serve(stalled)
+		go s.serve(accept.NewConn(stalled, accept.Unlimited()))
 		r := bufio.NewReader(near)
 		send(near, "/1")
 		status, _, closes := read(r)
--- a/internal/pipe/httpd/server.go
+++ b/internal/pipe/httpd/server.go
@@ -35,6 +35,18 @@
 	// stoppingRetryAfter is the retry delay in the responses to requests that arrive as the server stops
 	// reading: another node is to be asked.
 	stoppingRetryAfter = 50 * time.Millisecond
+	// noMemoryRetryAfter is the retry delay in the responses to requests for which there is no memory.
+	noMemoryRetryAfter = 500 * time.Millisecond
+	// requestBytes is the memory of a request without its body: its header, the stacks of its goroutines and
+	// the connection to its target, in bytes.
+	requestBytes = 16 << 10
+	// smallHeader is the size of a header that requestBytes covers, headerCopies how often a larger one is
+	// held: as received, parsed, filtered and encoded.
+	smallHeader  = 2 << 10
+	headerCopies = 4
+	// receiveBuffer is the size of the receive buffer of a connection, in bytes; the kernel doubles it for its
+	// own records. What callers send while their connections aren't read waits there.
+	receiveBuffer = 32 << 10
 	// TCP keep-alive detects callers whose VM is gone.
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 1 * time.Second
@@ -57,12 +69,15 @@
 
 // Server is a listener with its connections. It is safe for concurrent use.
 type Server struct {
-	handler  Handler
-	limits   func() rules.Limits
-	log      zerolog.Logger
-	listener net.Listener
-	mu       sync.Mutex
-	conns    map[*conn]struct{}
+	handler Handler
+	limits  func() rules.Limits
+	budgets accept.Budgets
+	// refusalLog is for lines about single requests.
+	refusalLog zerolog.Logger
+	log        zerolog.Logger
+	listener   net.Listener
+	mu         sync.Mutex
+	conns      map[*conn]struct{}
 	// draining is set by Drain and Quiesce: responses close their connection.
 	draining bool
 	// quiescing is set by Quiesce: idle connections are closed.
@@ -90,6 +105,22 @@
 	}
 }
 
+// WithRefusalLog sets the logger for requests that are refused for want of memory or connections. By default
+// nothing is logged.
+func WithRefusalLog(log zerolog.Logger) Option {
+	return func(s *Server) {
+		s.refusalLog = log
+	}
+}
+
+// WithBudgets bounds the connections and the memory of callers, which includes their requests. By default they
+// are unlimited.
+func WithBudgets(b accept.Budgets) Option {
+	return func(s *Server) {
+		s.budgets = b
+	}
+}
+
 // DefaultLimits are the limits where no configuration is in force.
 var DefaultLimits = rules.Limits{
 	HeaderBytes:   16 << 10,
@@ -102,6 +133,7 @@
 // closes its listener and connections.
 func New(address string, handler Handler, options ...Option) (*Server, func(), error) {
 	config := net.ListenConfig{
+		Control: accept.ReceiveBuffer(receiveBuffer),
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveIdle,
@@ -114,16 +146,19 @@
 		return nil, nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	s := &Server{
-		handler:  handler,
-		limits:   func() rules.Limits { return DefaultLimits },
-		log:      zerolog.Nop(),
-		listener: listener,
-		conns:    map[*conn]struct{}{},
+		handler: handler,
+		limits:  func() rules.Limits { return DefaultLimits },
+		budgets: accept.Unlimited(),
+
+		refusalLog: zerolog.Nop(),
+		log:        zerolog.Nop(),
+		listener:   listener,
+		conns:      map[*conn]struct{}{},
 	}
 	for _, o := range options {
 		o(s)
 	}
-	go accept.Loop(listener, s.log, s.serve)
+	go accept.Loop(listener, s.log, s.budgets, s.serve)
 	return s, s.close, nil
 }
 
@@ -133,7 +168,7 @@
 }
 
 // serve serves a connection until it ends.
-func (s *Server) serve(c net.Conn) {
+func (s *Server) serve(c *accept.Conn) {
 	cn := newConn(s, c)
 	s.mu.Lock()
 	s.conns[cn] = struct{}{}
--- a/internal/pipe/httpd/server_test.go
+++ b/internal/pipe/httpd/server_test.go
@@ -45,7 +45,7 @@
 }
 
 func echo(_ context.Context, in *Inbound) *msg.Response {
-	return msg.Plain(http.StatusOK, in.Method+" "+in.URI+" "+string(in.Body))
+	return msg.Plain(http.StatusOK, in.Method+" "+in.URI+" "+string(in.Body.Bytes()))
 }
 
 func read(r *bufio.Reader) (status int, body string, closes bool) {
--- a/internal/pipe/msg/msg.go
+++ b/internal/pipe/msg/msg.go
@@ -6,13 +6,19 @@
 import (
 	"bytes"
 	"fmt"
+	"net"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"fuchsiapier/internal/pipe/body"
 )
 
+// headRoom is the room for a response's status line and own fields, in bytes.
+const headRoom = 128
+
 // Names holds the names of the header fields by which callers, nodes and targets
 // of a deployment describe requests and responses, and its authorization scheme.
 type Names struct {
@@ -52,7 +58,7 @@
 	Host string
 	// Fields are the header lines to forward, each ended by CRLF.
 	Fields []byte
-	Body   []byte
+	Body   body.Body
 	// HasBody distinguishes an empty body from none.
 	HasBody bool
 }
@@ -62,15 +68,15 @@
 	Status int
 	// Fields are the header lines to forward, each ended by CRLF.
 	Fields []byte
-	Body   []byte
+	Body   body.Body
 	// Bodyless marks a response that carries no body, whatever its Content-Length
 	// says: one to a HEAD request, or with status 204 or 304.
 	Bodyless bool
 }
 
 // hopByHopFields are the fields, in lower case, that are never forwarded: those
-// that concern one connection, and those that Append, AppendHead and AppendBody
-// write anew.
+// that concern one connection, and those that AppendHead and AppendLength write
+// anew.
 var hopByHopFields = map[string]bool{
 	"connection":          true,
 	"content-length":      true,
@@ -154,7 +160,7 @@
 }
 
 // AppendHead appends the request line, the Host field and the forwarded fields.
-// More header lines may follow before AppendBody.
+// More header lines may follow before AppendLength.
 func (r *Request) AppendHead(out []byte) []byte {
 	out = append(out, r.Method...)
 	out = append(out, ' ')
@@ -164,18 +170,17 @@
 	return append(out, r.Fields...)
 }
 
-// AppendBody appends the Content-Length field, the end of the header and the body.
-func (r *Request) AppendBody(out []byte) []byte {
+// AppendLength appends the Content-Length field and the end of the header, behind which the body follows.
+func (r *Request) AppendLength(out []byte) []byte {
 	if r.HasBody {
-		out = AppendField(out, "Content-Length", strconv.Itoa(len(r.Body)))
+		out = AppendField(out, "Content-Length", strconv.Itoa(r.Body.Len()))
 	}
-	out = append(out, "\r\n"...)
-	return append(out, r.Body...)
+	return append(out, "\r\n"...)
 }
 
-// Append appends the encoded response; keep says whether the connection stays open
-// after it.
-func (r *Response) Append(out []byte, keep bool) []byte {
+// AppendHead appends the encoded head of the response, behind which the body follows, unless it is
+// bodyless; keep says whether the connection stays open after it.
+func (r *Response) AppendHead(out []byte, keep bool) []byte {
 	out = append(out, "HTTP/1.1 "...)
 	out = strconv.AppendInt(out, int64(r.Status), 10)
 	out = append(out, ' ')
@@ -184,17 +189,24 @@
 	out = append(out, r.Fields...)
 	if !r.Bodyless {
 		out = append(out, "Content-Length: "...)
-		out = strconv.AppendInt(out, int64(len(r.Body)), 10)
+		out = strconv.AppendInt(out, int64(r.Body.Len()), 10)
 		out = append(out, "\r\n"...)
 	}
 	if !keep {
 		out = append(out, "Connection: close\r\n"...)
 	}
-	out = append(out, "\r\n"...)
-	if !r.Bodyless {
-		out = append(out, r.Body...)
+	return append(out, "\r\n"...)
+}
+
+// WriteTo writes the response; keep says whether the connection stays open after it. evict is called when
+// the memory of a response that the peer doesn't read is needed for others.
+func (r *Response) WriteTo(c net.Conn, keep bool, evict func()) error {
+	out := r.AppendHead(make([]byte, 0, len(r.Fields)+headRoom+r.Body.RoomBehindHead()), keep)
+	if r.Bodyless {
+		_, err := c.Write(out)
+		return err
 	}
-	return out
+	return r.Body.AllowingEviction(evict).WriteTo(c, out)
 }
 
 // With returns a copy of the response with a header line added.
@@ -222,7 +234,7 @@
 	return &Response{
 		Status: status,
 		Fields: []byte("Content-Type: text/plain\r\n"),
-		Body:   []byte(text + "\n"),
+		Body:   body.Of([]byte(text + "\n")),
 	}
 }
 
