node: connections of callers and of other nodes are bounded by max_fds

What callers saw: idle connections, or such as never send a whole head, took all descriptors; then nothing could be accepted, sent to a target, or reported to the store. Cause: nothing counted connections, and max_fds of the settings was not read. Change: 0.375 of the descriptors for sockets are for callers, 0.25 for other nodes. Before they run out, the connection that has been idle, or without progress in the request that arrives, for longest is closed; one with a pending request never is. A new one for which there is no room is closed, by a go away frame if it is a node's, so that its request counts as not sent. Other nodes' idle connections end with a go away frame too. Ruled out: a shorter idle timeout (a crowd opens connections faster), a limit for each address (callers of a VM share one).

--- a/internal/conf/deploy/change.go
+++ b/internal/conf/deploy/change.go
@@ -28,6 +28,7 @@
 	FieldGrace         Field = "grace"
 	FieldRetries       Field = "retry-budget"
 	FieldMemory        Field = "memory"
+	FieldDescriptors   Field = "descriptors"
 )
 
 // Change is the difference between the settings that a node runs with and those of a
@@ -70,6 +71,7 @@
 	restart(FieldAnnouncements, running.AnnounceAddress != loaded.AnnounceAddress)
 	restart(FieldPorts, running.MeshPort != loaded.MeshPort || running.MetricsPort != loaded.MetricsPort)
 	restart(FieldService, running.TargetService != loaded.TargetService)
+	restart(FieldDescriptors, running.Descriptors != loaded.Descriptors)
 	restart(FieldStore, running.StoreAddress != loaded.StoreAddress)
 	return change, nil
 }
--- a/internal/conf/deploy/settings.go
+++ b/internal/conf/deploy/settings.go
@@ -55,6 +55,8 @@
 	RetryWindow time.Duration
 	// MemoryBytes is the memory limit that the deployment sets for the node, in bytes.
 	MemoryBytes int64
+	// Descriptors is the limit on open descriptors that the deployment sets for the node.
+	Descriptors int
 }
 
 // File describes the file that settings were read from.
--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -155,7 +155,7 @@
 	if err != nil {
 		return err
 	}
-	a.budgets = newBudgets(a.deploy, a.memoryShort)
+	a.budgets = newBudgets(a.deploy, a.memoryShort, a.connectionsShort)
 	a.setMemoryLimit(a.deploy)
 	if err := a.startMesh(self); err != nil {
 		return err
--- a/internal/node/agent/memory.go
+++ b/internal/node/agent/memory.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// defaultMemory is the memory limit of the process where the settings have none, in bytes.
-	defaultMemory = 256 << 20
+	// defaultMemory and defaultDescriptors are the limits of the process where the settings have none, in
+	// bytes and descriptors.
+	defaultMemory      = 256 << 20
+	defaultDescriptors = 1024
 	// memoryFraction is the fraction of the memory limit in the settings that becomes the soft
 	// memory limit of the Go runtime.
 	memoryFraction = 0.6
@@ -22,28 +24,60 @@
 	smallDivisor = 8
 	// smallBytes is the memory of a small request, in bytes; those of ordinary callers are smaller.
 	smallBytes = 64 << 10
+	// fileDescriptors are the descriptors that the platform reserves for files.
+	fileDescriptors = 200
+	// callersFraction and nodesFraction give the parts of the other descriptors for the connections of callers
+	// and of other nodes, smallRequestsDivisor the part of each listener for small requests. The rest is for
+	// connections to targets and other nodes, less storeDescriptors for those to the store.
+	callersFraction      = 0.375
+	nodesFraction        = 0.25
+	smallRequestsDivisor = 32
+	smallListeners       = 3
+	storeDescriptors     = 32
+	// headroomDivisor gives the part of the connections that is kept free by closing idle ones.
+	headroomDivisor = 16
 	// unreadDivisor gives the part of the held memory that may wait unread in sockets besides while requests
 	// wait for memory, unreadBytes what waits in the socket of one of them, in bytes.
 	unreadDivisor = 8
 	unreadBytes   = 64 << 10
+	// maxSmallRequests bounds the connections of a listener for small requests.
+	maxSmallRequests = 64
 )
 
 // budgets bound what callers, other nodes and targets can make the node hold.
 type budgets struct {
-	// memory counts bytes.
-	memory *budget.Budget
+	// memory counts bytes; the others count connections: of callers, of other nodes, and of each listener for small requests.
+	memory        *budget.Budget
+	callers       *budget.Budget
+	nodes         *budget.Budget
+	smallRequests int64
 }
 
-// newBudgets returns the budgets that follow from the settings. memoryShort is called when memory begins to be
-// short, and when that is over.
-func newBudgets(s deploy.Settings, memoryShort func(begins bool)) budgets {
+// newBudgets returns the budgets that follow from the settings. The functions are called when memory, or
+// connections of callers, begin to be short, and when that is over.
+func newBudgets(s deploy.Settings, memoryShort, connectionsShort func(begins bool)) budgets {
 	held, kept := heldMemory(s)
+	sockets := int64(s.Descriptors) - fileDescriptors
+	if s.Descriptors <= fileDescriptors {
+		sockets = defaultDescriptors - fileDescriptors
+	}
+	small := min(sockets/smallRequestsDivisor, maxSmallRequests)
+	callers := int64(callersFraction * float64(sockets))
+	nodes := int64(nodesFraction * float64(sockets))
 	return budgets{
 		memory: budget.New(held, budget.WithReserve(kept, smallBytes), budget.WithRoomForAnswers(),
 			budget.WithWaiting(int(held/unreadDivisor/unreadBytes)), budget.WithOnShortage(memoryShort)),
+		callers:       connections(callers, budget.WithOnShortage(connectionsShort)),
+		nodes:         connections(nodes),
+		smallRequests: small,
 	}
 }
 
+// connections returns a budget of connections.
+func connections(n int64, options ...budget.Option) *budget.Budget {
+	return budget.New(n, append(options, budget.WithHeadroom(n/headroomDivisor))...)
+}
+
 // heldMemory returns how many bytes peers may make the node hold, and how many of them are kept for small
 // requests.
 func heldMemory(s deploy.Settings) (held, kept int64) {
@@ -63,7 +97,7 @@
 func (b budgets) ofCallers() accept.Budgets {
 	return accept.Budgets{
 		Owner:       budget.Callers,
-		Connections: budget.Unlimited(),
+		Connections: b.callers,
 		Memory:      b.memory,
 	}
 }
@@ -72,11 +106,21 @@
 func (b budgets) ofNodes() accept.Budgets {
 	return accept.Budgets{
 		Owner:       budget.Nodes,
-		Connections: budget.Unlimited(),
+		Connections: b.nodes,
 		Memory:      b.memory,
 	}
 }
 
+// ofSmallRequests returns the budgets of a listener for small requests, whose memory is bounded by the number of its
+// connections.
+func (b budgets) ofSmallRequests() accept.Budgets {
+	return accept.Budgets{
+		Owner:       budget.Callers,
+		Connections: connections(b.smallRequests),
+		Memory:      budget.Unlimited(),
+	}
+}
+
 // setMemoryLimit sets the soft memory limit of the Go runtime and the memory that peers may make the node
 // hold.
 func (a *Agent) setMemoryLimit(s deploy.Settings) {
@@ -103,14 +147,27 @@
 	a.requestLog.Info().Msg("memory for connections, requests and responses is no longer short")
 }
 
+// connectionsShort logs that connections of callers begin to be short, or that this is over.
+func (a *Agent) connectionsShort(begins bool) {
+	if begins {
+		a.requestLog.Warn().Msg("connections of callers are short; idle ones are closed, new ones may be refused")
+		return
+	}
+	a.requestLog.Info().Msg("connections of callers are no longer short")
+}
+
 // registerBudgets registers metrics of the budgets.
 func (a *Agent) registerBudgets() {
 	for _, o := range budget.Owners() {
 		labels := map[string]string{"owner": o.Name()}
 		a.stats.LabeledGauge("fuchsiapier_held_bytes", "Memory that connections, requests and responses use, by who sends them.", labels, func() float64 { return float64(a.budgets.memory.Used(o)) })
 	}
+	a.stats.Gauge("fuchsiapier_callers_connections", "Open connections of callers.", func() float64 { return float64(a.budgets.callers.Used(budget.Callers)) })
+	a.stats.Gauge("fuchsiapier_nodes_connections", "Open connections of other nodes.", func() float64 { return float64(a.budgets.nodes.Used(budget.Nodes)) })
 	for name, b := range map[string]*budget.Budget{
-		"memory": a.budgets.memory,
+		"memory":              a.budgets.memory,
+		"callers-connections": a.budgets.callers,
+		"nodes-connections":   a.budgets.nodes,
 	} {
 		labels := map[string]string{"resource": name}
 		a.stats.Counter("fuchsiapier_refused_for_want_total", "Requests, responses and connections for which there was no room.", labels, func() float64 { return float64(b.Refusals()) })
