node: connections to targets and other nodes are bounded

What callers saw: requests sent ahead on many connections made a node open as many connections to other nodes, beyond its descriptors (1,590 of 1,024; 1,207 at the node that got them). Cause: a pool opened one for each request in progress. Change: what max_fds leaves beside callers, nodes and small listeners bounds them together; idle ones, to any node, are closed for new ones; without any the request goes elsewhere or is refused as not run (reason no-connection), which says nothing against the node that it was to go to.

--- a/internal/node/agent/agent.go
+++ b/internal/node/agent/agent.go
@@ -162,12 +162,12 @@
 	}
 	var stop func()
 	bodies := httpc.NewBodiesWithin(a.budgets.memory)
-	a.gate, stop = gate.New(a.adapter.Names, gate.WithBodies(bodies), gate.WithOnChange(a.targetChanged), gate.WithCrashTracker(a.crashes), gate.WithLog(a.requestLog),
+	a.gate, stop = gate.New(a.adapter.Names, gate.WithBodies(bodies), gate.WithConnections(a.budgets.outgoing), gate.WithOnChange(a.targetChanged), gate.WithCrashTracker(a.crashes), gate.WithLog(a.requestLog),
 		gate.WithTargetLog(a.log.Sample(a.stats.Sampler())),
 		gate.WithBlocked(), gate.WithOnDeparture(a.departed), gate.WithOnMalformed(a.stats.CountMalformed),
 		gate.WithOnRun(func() { a.graph.CountRun(timer.Now()) }))
 	a.tree.Cleanup(stop)
-	a.links, stop = remote.New(self, a.adapter.Names, bodies)
+	a.links, stop = remote.New(self, a.adapter.Names, bodies, remote.WithConnections(a.budgets.outgoing))
 	a.tree.Cleanup(stop)
 	a.startDepartures()
 	if err := a.startWatch(self); err != nil {
--- a/internal/node/agent/memory.go
+++ b/internal/node/agent/memory.go
@@ -46,10 +46,12 @@
 
 // budgets bound what callers, other nodes and targets can make the node hold.
 type budgets struct {
-	// memory counts bytes; the others count connections: of callers, of other nodes, and of each listener for small requests.
+	// memory counts bytes; the others count connections: of callers, of other nodes, to targets and other
+	// nodes, and of each listener for small requests.
 	memory        *budget.Budget
 	callers       *budget.Budget
 	nodes         *budget.Budget
+	outgoing      *budget.Budget
 	smallRequests int64
 }
 
@@ -69,6 +71,7 @@
 			budget.WithWaiting(int(held/unreadDivisor/unreadBytes)), budget.WithOnShortage(memoryShort)),
 		callers:       connections(callers, budget.WithOnShortage(connectionsShort)),
 		nodes:         connections(nodes),
+		outgoing:      connections(sockets - callers - nodes - smallListeners*small - storeDescriptors),
 		smallRequests: small,
 	}
 }
@@ -164,10 +167,12 @@
 	}
 	a.stats.Gauge("fuchsiapier_callers_connections", "Open connections of callers.", func() float64 { return float64(a.budgets.callers.Used(budget.Callers)) })
 	a.stats.Gauge("fuchsiapier_nodes_connections", "Open connections of other nodes.", func() float64 { return float64(a.budgets.nodes.Used(budget.Nodes)) })
+	a.stats.Gauge("fuchsiapier_outgoing_connections", "Open connections to the target and to other nodes.", func() float64 { return float64(a.budgets.outgoing.Used(budget.Answers)) })
 	for name, b := range map[string]*budget.Budget{
-		"memory":              a.budgets.memory,
-		"callers-connections": a.budgets.callers,
-		"nodes-connections":   a.budgets.nodes,
+		"memory":               a.budgets.memory,
+		"callers-connections":  a.budgets.callers,
+		"nodes-connections":    a.budgets.nodes,
+		"outgoing-connections": a.budgets.outgoing,
 	} {
 		labels := map[string]string{"resource": name}
 		a.stats.Counter("fuchsiapier_refused_for_want_total", "Requests, responses and connections for which there was no room.", labels, func() float64 { return float64(b.Refusals()) })
--- a/internal/node/call/call.go
+++ b/internal/node/call/call.go
@@ -138,6 +138,8 @@
 	CrashesTargets Reason = "crashes-targets"
 	// NoMemory means that the node beside the target had no memory for the request's body.
 	NoMemory Reason = "no-memory"
+	// NoConnection means that a node may not open another connection to pass the request on.
+	NoConnection Reason = "no-connection"
 	// Overloaded means that the request was shed on arrival because the services on its
 	// path are overloaded.
 	Overloaded Reason = "path-overloaded"
--- a/internal/node/entry/memory_test.go
+++ b/internal/node/entry/memory_test.go
@@ -63,7 +63,7 @@
 // TestNodeWithoutMemory guards against a request that fails, or counts as possibly run, since one node has no
 // memory for it or no connection left.
 func TestNodeWithoutMemory(t *testing.T) {
-	for _, reason := range []call.Reason{call.NoMemory} {
+	for _, reason := range []call.Reason{call.NoMemory, call.NoConnection} {
 		for _, path := range []string{"/safe/1", "/once/1"} {
 			Convey("Another node is asked, and the request is refused with a retry delay if none has room: "+string(reason)+" "+path, t, func() {
 				f := newFakeFleet()
--- a/internal/node/gate/gate.go
+++ b/internal/node/gate/gate.go
@@ -13,6 +13,7 @@
 
 	"fuchsiapier/internal/admit/crash"
 	"fuchsiapier/internal/admit/limit"
+	"fuchsiapier/internal/base/budget"
 	"fuchsiapier/internal/base/decay"
 	"fuchsiapier/internal/base/timer"
 	"fuchsiapier/internal/node/call"
@@ -83,8 +84,10 @@
 	downUntil time.Time
 	pool      *httpc.Pool
 	// bodies bounds the memory of responses that are read; nil for the default.
-	bodies  *httpc.Bodies
-	limiter *limit.Limiter
+	bodies *httpc.Bodies
+	// connections bounds the connections to the target; nil for no bound.
+	connections *budget.Budget
+	limiter     *limit.Limiter
 	// waiting holds a channel for each queued request, with a buffer of one. It
 	// receives true when the request starts and false when it is dropped from the
 	// queue.
@@ -176,6 +179,13 @@
 	}
 }
 
+// WithConnections sets the bound on connections to the target, which others may share.
+func WithConnections(b *budget.Budget) Option {
+	return func(g *Gate) {
+		g.connections = b
+	}
+}
+
 // WithBodies sets the bound on the memory of responses that are read from the target.
 func WithBodies(b *httpc.Bodies) Option {
 	return func(g *Gate) {
--- a/internal/node/gate/send.go
+++ b/internal/node/gate/send.go
@@ -139,6 +139,8 @@
 	case errors.Is(err, httpc.ErrRefused):
 		g.markDown(target)
 		return notRun(call.TargetDown, downBackoff)
+	case errors.Is(err, httpc.ErrNoConnection):
+		return notRun(call.NoConnection, downBackoff)
 	case errors.Is(err, httpc.ErrNotSent):
 		return notRun(call.TargetDown, downBackoff)
 	case errors.Is(err, httpc.ErrContextDone) && errors.Is(ctx.Err(), context.Canceled):
--- a/internal/node/gate/target.go
+++ b/internal/node/gate/target.go
@@ -118,6 +118,7 @@
 			httpc.WithAttemptHeader(g.names.Attempt),
 			httpc.WithFilter(g.filter),
 			httpc.WithBodies(g.bodies),
+			httpc.WithConnections(g.connections),
 		)
 	}
 	switch {
--- a/internal/node/remote/memory_test.go
+++ b/internal/node/remote/memory_test.go
@@ -20,8 +20,8 @@
 	"fuchsiapier/internal/pipe/msg"
 )
 
-// TestCallsWithoutMemory guards against a call that ends as possibly run although the other node
-// had no room for it.
+// TestCallsWithoutMemory guards against a call that ends as possibly run although the other node, or this
+// one, had no room for it.
 func TestCallsWithoutMemory(t *testing.T) {
 	send := func(links *Links, to peers.Node, size int) call.Result {
 		return links.Send(context.Background(), to, &call.Call{
@@ -38,7 +38,7 @@
 			},
 		})
 	}
-	Convey("A call for which the other node has no memory has not run", t, func() {
+	Convey("A call for which the other node has no memory, or this one no connection, has not run", t, func() {
 		gate := &echoGate{}
 		receiver := NewReceiver(gate, names, func() []byte { return nil })
 		server, stop, err := frame.Serve("127.0.0.1:0", receiver.Handle, accept.Budgets{
@@ -55,7 +55,8 @@
 			IP:       "127.0.0.1",
 			GatePort: uint16(gatePort),
 		}
-		links, closeLinks := New(peers.Node{Name: "here"}, names, httpc.NewBodies(1<<20, 1<<20))
+		connections := budget.New(1)
+		links, closeLinks := New(peers.Node{Name: "here"}, names, httpc.NewBodies(1<<20, 1<<20), WithConnections(connections))
 		defer closeLinks()
 		r := send(links, to, 200<<10)
 		So(r.Outcome, ShouldEqual, call.NotRun)
@@ -65,5 +66,13 @@
 		So(gate.last, ShouldBeNil)
 		So(send(links, to, 1<<10).Reached, ShouldBeTrue)
 		So(gate.last, ShouldNotBeNil)
+
+		links.Trim(time.Now().Add(time.Hour), nil)
+		taken := connections.Open(budget.Answers)
+		So(taken.Grow(1), ShouldBeNil)
+		r = send(links, to, 1<<10)
+		So(r.Outcome, ShouldEqual, call.NotRun)
+		So(r.Reason, ShouldEqual, call.NoConnection)
+		So(r.Reached, ShouldBeFalse)
 	})
 }
--- a/internal/node/remote/remote.go
+++ b/internal/node/remote/remote.go
@@ -13,6 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"fuchsiapier/internal/base/budget"
 	"fuchsiapier/internal/mesh/peers"
 	"fuchsiapier/internal/node/call"
 	"fuchsiapier/internal/pipe/body"
@@ -50,12 +51,24 @@
 	// bodies bounds the memory of frames that are read.
 	bodies *httpc.Bodies
 	mu     sync.Mutex
+	// connections bounds the connections to other nodes; nil for no bound.
+	connections *budget.Budget
 	// clients holds the client of each node by its gate address.
 	clients map[string]*frame.Client
 }
 
+// Option configures Links.
+type Option func(*Links)
+
+// WithConnections sets the bound on connections to other nodes, which others may share.
+func WithConnections(b *budget.Budget) Option {
+	return func(l *Links) {
+		l.connections = b
+	}
+}
+
 // New returns the links of a node, and a function that closes them.
-func New(self peers.Node, names msg.Names, bodies *httpc.Bodies) (*Links, func()) {
+func New(self peers.Node, names msg.Names, bodies *httpc.Bodies, options ...Option) (*Links, func()) {
 	l := &Links{
 		self:    self,
 		attempt: names.Attempt,
@@ -63,6 +76,9 @@
 		bodies:  bodies,
 		clients: map[string]*frame.Client{},
 	}
+	for _, o := range options {
+		o(l)
+	}
 	return l, l.close
 }
 
@@ -81,6 +97,7 @@
 			httpc.WithDialTimeout(dialTimeout),
 			httpc.WithTCPUserTimeout(ackTimeout),
 			httpc.WithOnSilence(l.closeUnproven),
+			httpc.WithConnections(l.connections),
 		}
 		c = frame.NewClient(address, options, l.bodies, l.attempt, call.FieldCall)
 		l.clients[address] = c
@@ -137,6 +154,11 @@
 	switch {
 	case err == nil:
 		return l.decode(answer, c)
+	case errors.Is(err, httpc.ErrNoConnection):
+		return call.Result{
+			Outcome: call.NotRun,
+			Reason:  call.NoConnection,
+		}
 	case errors.Is(err, httpc.ErrRefused), errors.Is(err, httpc.ErrNotSent):
 		return call.Result{
 			Outcome: call.NotRun,
--- a/internal/pipe/httpc/pool.go
+++ b/internal/pipe/httpc/pool.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
+	"fuchsiapier/internal/base/budget"
 	"fuchsiapier/internal/pipe/body"
 	"fuchsiapier/internal/pipe/head"
 	"fuchsiapier/internal/pipe/msg"
@@ -44,6 +45,9 @@
 var (
 	// ErrNotSent means that no byte of the request was sent.
 	ErrNotSent = errors.New("request not sent")
+	// ErrNoConnection means that the client may not open another connection; nothing was sent. It comes with
+	// ErrNotSent.
+	ErrNoConnection = errors.New("no connection left to open")
 	// ErrRefused means that nothing listens at the address; nothing was sent.
 	ErrRefused = errors.New("connection refused")
 	// ErrResponseLost means that, after sending started, the connection ended or the
@@ -58,6 +62,8 @@
 // Conn is a persistent connection. It carries one exchange at a time.
 type Conn struct {
 	net.Conn
+	// share is the descriptor of the connection.
+	share *budget.Share
 	// Reader buffers what was received and not read yet; reads must go through it.
 	Reader *bufio.Reader
 	// State holds what the protocol on the connection keeps between exchanges; nil at
@@ -68,6 +74,15 @@
 	// FreshUntil is when the idle connection expires, shortly before the peer closes
 	// it. Each exchange sets it.
 	FreshUntil time.Time
+	// release gives the descriptor back.
+	release func()
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	c.release()
+	return err
 }
 
 // Pool is a client of one address with a pool of idle connections. It is safe for
@@ -85,9 +100,11 @@
 	attempt string
 	filter  msg.Filter
 	bodies  *Bodies
-	mu      sync.Mutex
-	idle    []*Conn
-	closed  bool
+	// connections bounds the connections of this and other clients.
+	connections *budget.Budget
+	mu          sync.Mutex
+	idle        []*Conn
+	closed      bool
 	// dials counts the connections opened.
 	dials int
 }
@@ -153,6 +170,16 @@
 	}
 }
 
+// WithConnections sets the bound on open connections, which several clients may share. Where it is reached,
+// idle ones are closed for new ones. Without it they are unlimited.
+func WithConnections(b *budget.Budget) Option {
+	return func(p *Pool) {
+		if b != nil {
+			p.connections = b
+		}
+	}
+}
+
 // New returns a client of an address (ip:port) and its Close method.
 func New(address string, options ...Option) (*Pool, func()) {
 	p := &Pool{
@@ -163,6 +190,7 @@
 		silenceCheck: minSilenceCheck,
 		onSilence:    func(time.Time) {},
 		bodies:       NewBodies(defaultBodies, defaultBodies),
+		connections:  budget.Unlimited(),
 	}
 	for _, opt := range options {
 		opt(p)
@@ -364,7 +392,7 @@
 		if c == nil {
 			return p.dial(ctx)
 		}
-		if time.Now().Before(c.FreshUntil) && Alive(c.Conn) {
+		if c.share.ForbidEviction() && time.Now().Before(c.FreshUntil) && Alive(c.Conn) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -385,11 +413,19 @@
 }
 
 func (p *Pool) dial(ctx context.Context) (*Conn, error) {
+	share := p.connections.Open(budget.Answers)
+	if err := share.TryGrow(1); err != nil {
+		share.Release()
+		return nil, errors.Join(ErrNotSent, ErrNoConnection, err)
+	}
 	d := net.Dialer{
 		Timeout: p.dialTimeout,
 		Control: p.setUserTimeout,
 	}
 	c, err := d.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		share.Release()
+	}
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return nil, errors.Join(ErrRefused, err)
@@ -401,6 +437,8 @@
 	p.mu.Unlock()
 	return &Conn{
 		Conn:     c,
+		share:    share,
+		release:  sync.OnceFunc(share.Release),
 		provenAt: time.Now(),
 		Reader:   bufio.NewReaderSize(c, readBufferSize),
 	}, nil
@@ -424,6 +462,7 @@
 		return
 	}
 	p.idle = append(p.idle, c)
+	c.share.AllowEviction(func() { _ = c.Close() })
 }
 
 // Trim closes the idle connections that have expired by now.
