node: announcements, readiness checks and metrics keep to a few connections each

What callers saw: connections to these ports, idle or with announcements that never end, took all descriptors (1,427 to 1,527 of 1,024) and 121 MB. Cause: fasthttp serves as many as come.

--- a/internal/node/agent/http.go
+++ b/internal/node/agent/http.go
@@ -12,6 +12,7 @@
 
 	"fuchsiapier/internal/node/gate"
 	"fuchsiapier/internal/ops/admin"
+	"fuchsiapier/internal/pipe/accept"
 )
 
 const (
@@ -22,6 +23,8 @@
 	idleTimeout = 15 * time.Second
 	// maxBodyBytes bounds the body of a request, such as an announcement.
 	maxBodyBytes = 64 << 10
+	// receiveBuffer is the size of the receive buffer of a connection, in bytes.
+	receiveBuffer = 16 << 10
 	// closeTimeout bounds the graceful shutdown of a server.
 	closeTimeout = 200 * time.Millisecond
 )
@@ -29,10 +32,14 @@
 // serveHTTP listens on a TCP address and serves small requests on it until the agent
 // stops. name is used in errors and for the supervised task.
 func (a *Agent) serveHTTP(name, address string, handler fasthttp.RequestHandler) error {
-	listener, err := net.Listen("tcp", address)
+	config := net.ListenConfig{
+		Control: accept.ReceiveBuffer(receiveBuffer),
+	}
+	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", name, err)
 	}
+	listener = accept.Limit(listener, a.budgets.ofSmallRequests())
 	server := &fasthttp.Server{
 		Handler:               handler,
 		NoDefaultServerHeader: true,
