--- a/internal/node/agent/memory.go
+++ b/internal/node/agent/memory.go
@@ -24,6 +24,9 @@
 	smallDivisor = 8
 	// smallBytes is the memory of a small request, in bytes; those of ordinary callers are smaller.
 	smallBytes = 64 << 10
+	// minSockets is how many sockets the node takes at least, whatever the settings say: it can't work with
+	// fewer.
+	minSockets = 128
 	// fileDescriptors are the descriptors that the platform reserves for files.
 	fileDescriptors = 200
 	// callersFraction and nodesFraction give the parts of the other descriptors for the connections of callers
@@ -59,10 +62,7 @@
 // connections of callers, begin to be short, and when that is over.
 func newBudgets(s deploy.Settings, memoryShort, connectionsShort func(begins bool)) budgets {
 	held, kept := heldMemory(s)
-	sockets := int64(s.Descriptors) - fileDescriptors
-	if s.Descriptors <= fileDescriptors {
-		sockets = defaultDescriptors - fileDescriptors
-	}
+	sockets := sockets(s)
 	small := min(sockets/smallRequestsDivisor, maxSmallRequests)
 	callers := int64(callersFraction * float64(sockets))
 	nodes := int64(nodesFraction * float64(sockets))
@@ -76,6 +76,14 @@
 	}
 }
 
+// sockets returns how many descriptors the process may have for sockets.
+func sockets(s deploy.Settings) int64 {
+	if s.Descriptors == 0 {
+		return defaultDescriptors - fileDescriptors
+	}
+	return max(int64(s.Descriptors)-fileDescriptors, minSockets)
+}
+
 // connections returns a budget of connections.
 func connections(n int64, options ...budget.Option) *budget.Budget {
 	return budget.New(n, append(options, budget.WithHeadroom(n/headroomDivisor))...)
--- a/internal/pipe/frame/frame.go
+++ b/internal/pipe/frame/frame.go
@@ -119,6 +119,15 @@
 	return ""
 }
 
+// size returns the length of all names and values, in bytes.
+func (f Fields) size() int {
+	n := 0
+	for i := range f {
+		n += len(f[i].Name) + len(f[i].Value)
+	}
+	return n
+}
+
 // Lines returns the fields as header lines, without pseudo-header fields and those
 // named in drop.
 func (f Fields) Lines(drop ...string) []byte {
--- a/internal/pipe/frame/server.go
+++ b/internal/pipe/frame/server.go
@@ -35,9 +35,11 @@
 	maxRefusals = 64
 	// readBufferSize is a connection's read buffer, in bytes.
 	readBufferSize = 2 << 10
-	// requestBytes is the memory of a request without its body: its header and the connection to its target,
-	// in bytes.
+	// requestBytes is the memory of a request without its head and body: the stacks of its goroutines and the
+	// connection to its target, in bytes.
 	requestBytes = 16 << 10
+	// headCopies is how often the head of a request is held: as fields, as header lines and encoded.
+	headCopies = 3
 )
 
 // Handler returns the response to a request. Its context ends when the requesting
@@ -322,7 +324,7 @@
 		return nil, nil, err
 	}
 	rest = io.LimitReader(c.reader, int64(length))
-	content, err := c.readBody(rest, length, share)
+	content, err := readBody(rest, length, fields.size(), share)
 	noMemory := errors.Is(err, body.ErrNoMemory) && !errors.Is(err, budget.ErrEvicted)
 	if err != nil && !noMemory {
 		return nil, nil, err
@@ -336,9 +338,9 @@
 	return r, rest, nil
 }
 
-// readBody reads the body of a request, whose memory, like that of the request itself, is added to a share.
-func (c *serverConn) readBody(r io.Reader, length int, share *budget.Share) (body.Body, error) {
-	if err := share.Grow(requestBytes); err != nil {
+// readBody reads the body of a request with a head of the given size. The memory of both is added to a share.
+func readBody(r io.Reader, length, headSize int, share *budget.Share) (body.Body, error) {
+	if err := share.Grow(int64(requestBytes + headCopies*headSize)); err != nil {
 		return body.Body{}, errors.Join(body.ErrNoMemory, err)
 	}
 	return body.Read(r, length, maxFrame, share)
--- a/internal/pipe/httpd/conn.go
+++ b/internal/pipe/httpd/conn.go
@@ -225,12 +225,6 @@
 	}
 }
 
-func (c *conn) isEnded() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.ended
-}
-
 // discard reads and drops what arrives behind the last request that was read, until the caller
 // closes the connection, which is noticed while requests are pending, or until the lingering close
 // after the last response has timed out.
