--- a/test/serve_test.go
+++ b/test/serve_test.go
@@ -67,7 +67,9 @@
 	// stopServer stops the running server.
 	stopServer func()
 	node       *exec.Cmd
-	exited     chan struct{}
+	// process is the ID of the node's process.
+	process atomic.Int64
+	exited  chan struct{}
 	// settingsFile is the path of the node's settings file.
 	settingsFile string
 }
@@ -277,6 +279,7 @@
 	if err := v.node.Start(); err != nil {
 		v.cluster.t.Fatal(err)
 	}
+	v.process.Store(int64(v.node.Process.Pid))
 	exited := make(chan struct{})
 	v.exited = exited
 	node := v.node
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -96,6 +96,9 @@
 	troubled *rand.Rand
 	// departing is the VM whose server withdraws itself, with the node that is killed right after.
 	departing *departing
+	// crowds let clients that don't behave come, if withCrowds is set.
+	crowds     *crowds
+	withCrowds bool
 	// restoredAt are the times at which the store was restored.
 	restoredAt []time.Time
 }
@@ -103,8 +106,8 @@
 // TestSoak guards against broken promises where faults overlap: restarts, kills and pauses of
 // nodes, limits and departures that servers name in responses, a server that withdraws itself and
 // whose failure domain is killed right after the confirmation, outages and restores of the store,
-// connections to it that go silent, changes of the configuration, malformed responses, and a request that crashes the servers
-// which run it, beside callers that use their connections until they end, some of which send ahead.
+// connections to it that go silent, changes of the configuration, malformed responses, crowds of clients that don't behave
+// (in some seeds), and a request that crashes the servers which run it, beside callers that use their connections until they end, some of which send ahead.
 func TestSoak(t *testing.T) {
 	first, last := seeds.Range(t, "FUCHSIAPIER_SOAK", 1, lastSoakSeed)
 	for seed := first; seed <= last; seed++ {
@@ -112,7 +115,7 @@
 			size, _ := strconv.Atoi(os.Getenv("FUCHSIAPIER_SOAK_SIZE"))
 			s := newSoak(t, seed, max(size, 1))
 			s.run()
-			broken := s.check()
+			broken := append(s.check(), s.crowds.exceeded()...)
 			for _, b := range broken {
 				t.Error(b)
 			}
@@ -124,8 +127,12 @@
 }
 
 func newSoak(t *testing.T, seed uint64, size int) *soak {
+	m := defaultMachine
+	if hasCrowds(seed) {
+		m = crowdMachine
+	}
 	s := &soak{
-		cluster: newClusterOf(t, size),
+		cluster: newClusterOn(t, size, m),
 		random:  rand.New(rand.NewPCG(seed, seed)),
 		busy:    map[*vm]*sync.Mutex{},
 		spans:   map[*vm][]span{},
@@ -136,6 +143,8 @@
 		arrivals:     rand.New(rand.NewPCG(seed, 2)),
 		troubled:     rand.New(rand.NewPCG(seed, 4)),
 	}
+	s.crowds = newCrowds(s, seed)
+	s.withCrowds = hasCrowds(seed)
 	s.departing = newDeparting(rand.New(rand.NewPCG(seed, 3)), s.vms)
 	s.leaving[s.departing.vm] = true
 	s.copies = []store.Copy{s.initial, s.store.Copy()}
@@ -156,6 +165,10 @@
 		}
 		callers.Go(func() { s.callAhead(v, 0, done) })
 	}
+	if s.withCrowds {
+		callers.Go(func() { s.crowds.run(done) })
+		callers.Go(func() { s.crowds.measure(done) })
+	}
 	s.troubleServers()
 	s.silenceConnections()
 	s.faults.Go(s.depart)
