pipe/httpd: TestUnfinishedBodiesGiveWay takes any of the refusals

Which gives way first isn't promised. The first response that comes must be the refusal, with its retry delay and the end of the connection, as before.

--- a/internal/pipe/httpd/crowd_test.go
+++ b/internal/pipe/httpd/crowd_test.go
@@ -1,7 +1,6 @@
 package httpd
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -47,8 +46,8 @@
 			const size = 200 << 10
 			b := within(100, 1<<20)
 			s, _, _ := start(t, length, WithBudgets(b))
-			var refused []*bufio.Reader
-			for range 4 {
+			responses := make(chan *http.Response, 4)
+			for range cap(responses) {
 				stuck, answers := connect(t, s)
 				if format == "length" {
 					post(stuck, size, 1)
@@ -56,7 +55,11 @@
 					_, _ = fmt.Fprintf(stuck, "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", size)
 					_, _ = stuck.Write(make([]byte, size-1))
 				}
-				refused = append(refused, answers)
+				go func() {
+					if resp, err := http.ReadResponse(answers, nil); err == nil {
+						responses <- resp
+					}
+				}()
 			}
 			So(eventually(func() bool {
 				c, r := connect(t, s)
@@ -65,8 +68,7 @@
 				status, content, _ := read(r)
 				return status == http.StatusOK && content == fmt.Sprint(size)
 			}), ShouldBeTrue)
-			resp, err := http.ReadResponse(refused[0], nil)
-			So(err, ShouldBeNil)
+			resp := <-responses
 			So(resp.StatusCode, ShouldEqual, http.StatusServiceUnavailable)
 			So(resp.Header.Get("Retry-After"), ShouldNotBeEmpty)
 			So(resp.Close, ShouldBeTrue)
