--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 	$(GO) test -run xxx -fuzz FuzzMessage -fuzztime $(FUZZTIME) ./internal/mesh/roster
 	$(GO) test -run xxx -fuzz FuzzPeerMessages -fuzztime $(FUZZTIME) ./internal/edge/daemon
 	$(GO) test -run xxx -fuzz 'FuzzRead$$' -fuzztime $(FUZZTIME) ./internal/pipe/frame
+	$(GO) test -run xxx -fuzz 'FuzzRead$$' -fuzztime $(FUZZTIME) ./internal/pipe/body
 	$(GO) test -run xxx -fuzz FuzzReadResponse -fuzztime $(FUZZTIME) ./internal/pipe/httpc
 	$(GO) test -run xxx -fuzz FuzzReceive -fuzztime $(FUZZTIME) ./internal/mesh/peers
 	$(GO) test -run xxx -fuzz 'FuzzParseConfig$$' -fuzztime $(FUZZTIME) ./platform
--- a/internal/pipe/frame/server.go
+++ b/internal/pipe/frame/server.go
@@ -250,7 +250,7 @@
 		if !c.beginRequest(err) {
 			return
 		}
-		r, err := c.readWithin()
+		r, err := c.readWithinBudget()
 		switch {
 		case errors.Is(err, errWithdrawal):
 			c.withdrawLast()
@@ -290,9 +290,9 @@
 	return true
 }
 
-// readWithin reads a request within the budget of memory. The body of one for which there is no memory is
+// readWithinBudget reads a request within the budget of memory. The body of one for which there is no memory is
 // dropped.
-func (c *serverConn) readWithin() (*Request, error) {
+func (c *serverConn) readWithinBudget() (*Request, error) {
 	share := c.server.budgets.Memory.Open(budget.Nodes)
 	share.AllowEviction(c.evict)
 	r, rest, err := c.readRequest(share)
