--- a/review/rig-3/quota.go
+++ b/review/rig-3/quota.go
@@ -47,12 +47,12 @@
 		if m == owner {
 			continue
 		}
-		for range 8 {
+		for range 5 {
 			wg.Go(func() {
 				c := newClient()
 				for time.Since(began) < 9*time.Second {
 					sent.add(m.do(c, http.MethodGet, "/check/x", "key-acme", 2*time.Second, ""))
-					time.Sleep(60 * time.Millisecond)
+					time.Sleep(65 * time.Millisecond)
 				}
 			})
 		}
