Review cases 12 and 14: a wrong caller's service, and a foreign report

Cause: two late or foreign status reports in a row make a replaced, or a withdrawn, server the present one again (UNASKED, DRAIN).

--- a/review/rig-3/machine.go
+++ b/review/rig-3/machine.go
@@ -20,6 +20,7 @@
 	headerSignature = "X-Fuchsiapier-Response-Signature"
 	headerTarget    = "X-Fuchsiapier-Target-Instance"
 	headerTenant    = "X-Fuchsiapier-Tenant"
+	headerCaller    = "X-Fuchsiapier-Caller-Service"
 	headerInstance  = "X-Fuchsiapier-Instance-Id"
 	headerNotRun    = "X-Fuchsiapier-Not-Executed"
 )
--- a/review/rig-3/rig.go
+++ b/review/rig-3/rig.go
@@ -194,7 +194,7 @@
 			m.zones = append(m.zones, z)
 		}
 		r.machines = append(r.machines, m)
-		m.server = newServer(m)
+		m.server = newServer(m, "i-"+m.name, m.service)
 		if err := m.server.listen(); err != nil {
 			return err
 		}
--- a/review/rig-3/server.go
+++ b/review/rig-3/server.go
@@ -16,6 +16,7 @@
 type arrival struct {
 	attempt string
 	tenant  string
+	caller  string
 	path    string
 	at      time.Time
 	run     bool
@@ -25,6 +26,7 @@
 type server struct {
 	machine *machine
 	id      string
+	service string
 	born    int64
 
 	mu     sync.Mutex
@@ -39,10 +41,11 @@
 	done     chan struct{}
 }
 
-func newServer(m *machine) *server {
+func newServer(m *machine, id, service string) *server {
 	return &server{
 		machine: m,
-		id:      "i-" + m.name,
+		id:      id,
+		service: service,
 		born:    time.Now().UnixMilli(),
 		state:   "ready",
 		work:    2 * time.Millisecond,
@@ -128,6 +131,7 @@
 	a := arrival{
 		attempt: r.Header.Get(headerAttempt),
 		tenant:  r.Header.Get(headerTenant),
+		caller:  r.Header.Get(headerCaller),
 		path:    r.URL.Path,
 		at:      time.Now(),
 		run:     true,
@@ -177,7 +181,7 @@
 	defer s.mu.Unlock()
 	s.seq++
 	data, _ := json.Marshal(map[string]any{
-		"service":      s.machine.service,
+		"service":      s.service,
 		"address":      s.machine.address(portApp),
 		"zone":         s.machine.zone,
 		"version":      "v1",
