Review: stand-ins without what no case uses

Cause: a case that never failed (memory of a node among clients that don't behave and endless answers) is no case.

--- a/review/rig-3/machine.go
+++ b/review/rig-3/machine.go
@@ -22,7 +22,6 @@
 	headerTenant    = "X-Fuchsiapier-Tenant"
 	headerCaller    = "X-Fuchsiapier-Caller-Service"
 	headerInstance  = "X-Fuchsiapier-Instance-Id"
-	headerNotRun    = "X-Fuchsiapier-Not-Executed"
 )
 
 // machine is a machine with a server and a node.
@@ -33,14 +32,12 @@
 	zone     string
 	zones    []string
 	service  string
-	memoryMB int
 	settings string
 	server   *server
 
 	mu     sync.Mutex
 	node   *exec.Cmd
 	exited chan struct{}
-	peakKB int
 }
 
 func (m *machine) address(port int) string {
@@ -81,7 +78,7 @@
 [limits]
 cpu_share = 0.64
 cores = 1
-memory_mb = %d
+memory_mb = 284
 max_fds = 4100
 link_mbps = 1000.0
 disk_mb = 0
@@ -104,7 +101,7 @@
 part_mb = 200
 min_ttl_ms = 1000
 `, m.name, m.ip, m.zone, portFirst, portLast, heartbeat.Milliseconds(), m.address(portApp), m.service, strings.Join(zones, "\n"),
-		m.address(portInbound), m.address(portOutbound), m.address(portReadiness), m.address(portControl), m.memoryMB, m.rig.store.Address())
+		m.address(portInbound), m.address(portOutbound), m.address(portReadiness), m.address(portControl), m.rig.store.Address())
 }
 
 // startNode starts the node's process with the command of the deploy file.
@@ -138,17 +135,6 @@
 	return nil
 }
 
-// signal sends a signal to the node.
-func (m *machine) signal(s syscall.Signal) {
-	m.mu.Lock()
-	node := m.node
-	m.mu.Unlock()
-	if node != nil {
-		m.rig.note("%s: %v", m.name, s)
-		_ = node.Process.Signal(s)
-	}
-}
-
 // kill kills the node and waits for its end.
 func (m *machine) kill() {
 	m.mu.Lock()
@@ -163,19 +149,6 @@
 	m.rig.note("%s: node killed", m.name)
 }
 
-// hasExited reports whether the node's process has ended.
-func (m *machine) hasExited() bool {
-	m.mu.Lock()
-	exited := m.exited
-	m.mu.Unlock()
-	select {
-	case <-exited:
-		return true
-	default:
-		return false
-	}
-}
-
 func (m *machine) get(port int, path string) (int, []byte) {
 	client := http.Client{
 		Timeout: time.Second,
@@ -220,24 +193,3 @@
 	}
 	return open >= n
 }
-
-// peakMB returns the peak of the resident memory of the node's process, in MiB.
-func (m *machine) peakMB() int {
-	m.mu.Lock()
-	node := m.node
-	m.mu.Unlock()
-	if node == nil {
-		return 0
-	}
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", node.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.SplitSeq(string(data), "\n") {
-		var kb int
-		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kb); n == 1 {
-			return kb / 1024
-		}
-	}
-	return 0
-}
--- a/review/rig-3/server.go
+++ b/review/rig-3/server.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
@@ -29,14 +28,12 @@
 	service string
 	born    int64
 
-	mu     sync.Mutex
-	http   *http.Server
-	seq    int
-	state  string
-	silent bool
-	work   time.Duration
-	// endless is the prefix of the paths of requests that get a body without end.
-	endless  string
+	mu       sync.Mutex
+	http     *http.Server
+	seq      int
+	state    string
+	silent   bool
+	work     time.Duration
 	arrivals []arrival
 	done     chan struct{}
 }
@@ -151,14 +148,6 @@
 	}
 	time.Sleep(work)
 	w.Header().Set(headerSignature, "proof-of-"+a.attempt)
-	if s.endless != "" && strings.HasPrefix(r.URL.Path, s.endless) {
-		block := bytes.Repeat([]byte("z"), 32<<10)
-		for {
-			if _, err := w.Write(block); err != nil {
-				return
-			}
-		}
-	}
 	_, _ = fmt.Fprintf(w, "%s ran %s with %d bytes", s.id, r.URL.Path, len(body))
 }
 
